--- /dev/null
+++ b/Source/Rules/include/balsamlatch/Rules/Parser.h
@@ -0,0 +1,28 @@
+/// \file
+/// The rules text: parsing, checking across rules, and printing.
+
+#ifndef BALSAMLATCH_RULES_PARSER_H
+#define BALSAMLATCH_RULES_PARSER_H
+
+#include "balsamlatch/Base/Finding.h"
+#include "balsamlatch/Rules/RuleSet.h"
+
+#include <string>
+#include <string_view>
+
+namespace balsamlatch {
+
+/// A parsed text with everything that is wrong with it.
+struct ParsedRules {
+  /// Holds what could be read; to be used only without errors.
+  RuleSet Rules;
+  Findings Problems;
+};
+
+/// Parses and checks a whole rules text. \p File names it in the findings.
+/// Never fails early: all findings are collected.
+ParsedRules parseRules(std::string_view File, std::string_view Text);
+
+} // namespace balsamlatch
+
+#endif // BALSAMLATCH_RULES_PARSER_H
