--- a/Source/Wire/include/balsamlatch/Wire/PeerSeal.h
+++ b/Source/Wire/include/balsamlatch/Wire/PeerSeal.h
@@ -9,6 +9,7 @@
 #include "balsamlatch/Base/Ids.h"
 
 #include <absl/status/status.h>
+#include <absl/status/statusor.h>
 #include <compare>
 #include <cstdint>
 #include <map>
--- /dev/null
+++ b/Tests/Wire/PeerCodecTest.cpp
@@ -0,0 +1,102 @@
+/// \file
+/// Tests of the JSON between entries: round trips, faults with their place and
+/// mutated input.
+
+#define BOOST_TEST_MODULE Wire
+#include <boost/test/unit_test.hpp>
+
+#include "balsamlatch/Wire/PeerCodec.h"
+
+#include <random>
+
+using namespace balsamlatch;
+using namespace balsamlatch::membership;
+using namespace balsamlatch::placement;
+using namespace balsamlatch::wire;
+using namespace std::chrono_literals;
+
+namespace {
+
+Member member(const char *Name) {
+  return {EntryName(Name), {"127.0.0.1", 7001}, DataCentreName("north"), 12,
+          MemberState::Suspect};
+}
+
+std::vector<PeerMessage> oneOfEach() {
+  const Versions InForce = {{"rules/head", 9}, {"ledger/eu", 44}};
+  return {
+      Message(Probe{1, member("a"), InForce, {member("b"), member("c")}}),
+      Message(Ack{2, member("b"), InForce, {}}),
+      Message(ProbeRequest{3, member("a"), EntryName("c")}),
+      Message(DocumentPush{{"rules/head", 9, "text \"quoted\"\n"}}),
+      Message(DocumentPull{"rules/head", 8}),
+      Message(LedgerConfirm{44}),
+      SlotMessage(SlotAsk{PoolName("p"), 3, 4, 250ms, {{HostName("w1"), 2}}}),
+      SlotMessage(SlotGrant{PoolName("p"), HostName("w1"), 2, 500ms}),
+      SlotMessage(SlotReturn{PoolName("p"), HostName("w1"), 1}),
+  };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(EachKindRoundTrips) {
+  const std::vector<PeerMessage> Batch = oneOfEach();
+  const auto Read = decodeBatch(encodeBatch(Batch));
+  BOOST_REQUIRE_MESSAGE(Read.ok(), Read.status().ToString());
+  BOOST_TEST((*Read == Batch));
+}
+
+BOOST_AUTO_TEST_CASE(UnknownKindsAndMembersAreIgnored) {
+  const auto Read = decodeBatch(
+      R"([{"kind":"later"},{"kind":"ledger-confirm","version":3,"extra":1}])");
+  BOOST_REQUIRE(Read.ok());
+  BOOST_REQUIRE(Read->size() == 1u);
+  BOOST_TEST((Read->front() == PeerMessage(Message(LedgerConfirm{3}))));
+}
+
+BOOST_AUTO_TEST_CASE(FaultsNameMessageAndMember) {
+  const auto Read = decodeBatch(
+      R"([{"kind":"ledger-confirm","version":1},{"kind":"pull","key":"k","after":-1}])");
+  BOOST_TEST(absl::IsInvalidArgument(Read.status()));
+  BOOST_TEST(Read.status().message() ==
+             "message 1: 'after' must be a whole number in range");
+}
+
+BOOST_AUTO_TEST_CASE(WrongShapesAreRefused) {
+  for (const char *Text : {"", "{}", "[1]", "[{}]", "[{\"kind\":7}]",
+                           R"([{"kind":"slot-ask","pool":"p"}])",
+                           R"([{"kind":"pull","key":"k","after":1.5}])"}) {
+    BOOST_TEST(!decodeBatch(Text).ok(), Text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(LongBatchesAreRefused) {
+  const std::vector<PeerMessage> Batch(MaxBatchMessages + 1,
+                                       Message(LedgerConfirm{1}));
+  BOOST_TEST(!decodeBatch(encodeBatch(Batch)).ok());
+}
+
+BOOST_AUTO_TEST_CASE(MutatedBatchesNeverCrashAndKeepTheirMeaningOrFail) {
+  constexpr int Rounds = 20'000;
+  std::mt19937_64 Random(20261);
+  const std::string Good = encodeBatch(oneOfEach());
+  int Accepted = 0;
+  for (int I = 0; I < Rounds; ++I) {
+    std::string Text = Good;
+    const std::size_t Changes = 1 + Random() % 4;
+    for (std::size_t J = 0; J < Changes; ++J) {
+      Text[Random() % Text.size()] = static_cast<char>(Random());
+    }
+    Text.resize(Random() % 8 == 0 ? Random() % Text.size() : Text.size());
+    const auto Read = decodeBatch(Text);
+    if (!Read.ok()) {
+      continue;
+    }
+    ++Accepted;
+    const auto Again = decodeBatch(encodeBatch(*Read));
+    BOOST_REQUIRE(Again.ok());
+    BOOST_TEST((*Again == *Read));
+  }
+  BOOST_TEST(Accepted > 0);
+  BOOST_TEST(Accepted < Rounds);
+}
