--- a/Source/Rules/include/balsamlatch/Rules/Parser.h
+++ b/Source/Rules/include/balsamlatch/Rules/Parser.h
@@ -23,6 +23,14 @@
 /// Never fails early: all findings are collected.
 ParsedRules parseRules(std::string_view File, std::string_view Text);
 
+/// Puts the text into its usual form: single blanks between words, one before
+/// the comment, no blank lines at the end. Each line stays on its number, and
+/// comments stay as they are. Works on faulty text too.
+std::string formatRules(std::string_view Text);
+
+/// Largest rules text, in bytes.
+inline constexpr std::size_t MaxRulesBytes = 4'000'000;
+
 } // namespace balsamlatch
 
 #endif // BALSAMLATCH_RULES_PARSER_H
