--- a/Source/Placement/include/balsamlatch/Placement/Events.h
+++ b/Source/Placement/include/balsamlatch/Placement/Events.h
@@ -54,10 +54,13 @@
   JobEjected,
   ClaimTaken,
   ClaimUnavailable,
+  /// The idempotency key was used before with another body.
+  KeyReused,
   AttemptLost,
   LateAnswerDropped,
   WorkerEjected,
-  WorkerReadmitted
+  WorkerReadmitted,
+  JobReadmitted
 };
 
 /// The stable code, for example "deadline-passed".
@@ -134,12 +137,18 @@
   Won,
   /// Another request with the key has the claim; its answer isn't here.
   Taken,
-  /// The store can't be reached; no claim was written.
+  /// The key was used before with another body.
+  OtherBody,
+  /// The store can't be reached, so this request must not run.
   Unavailable
 };
 struct ClaimSettled {
   RequestId Id;
   ClaimResult Result = ClaimResult::Unavailable;
+  /// With Won: dispatch only before this instant.
+  Instant DispatchBefore = Instant::max();
+  /// With Taken: how the first request ended, if its entry recorded that.
+  std::optional<Outcome> First;
 };
 
 /// A message between the engines of two entries about slots of one pool:
@@ -202,6 +211,9 @@
   Address At;
   /// The worker's lease on the task, and the bound of the wait for its answer.
   Duration Lease{};
+  /// The shell's clock must not have passed this when the first byte leaves;
+  /// otherwise it sends nothing and reports NotSent.
+  Instant NotAfter = Instant::max();
 };
 /// Tell the worker to stop the task; CancelConfirmed or AttemptEnded follows.
 struct CancelAttempt {
