placement: Let slot messages carry order, class and purpose

Cause: a scheduler entry must know which grants an ask has seen, for which pool it wants them, and which workers the asker avoids. Change: additive fields of SlotAsk and SlotGrant; FinishRequest names how the first request with a key ended.

--- a/Source/Placement/include/balsamlatch/Placement/Events.h
+++ b/Source/Placement/include/balsamlatch/Placement/Events.h
@@ -155,23 +155,43 @@
 /// the pool's scheduler entry hands out grants.
 struct SlotAsk {
   PoolName Pool;
-  /// Slots wanted now, by class.
+  /// Slots wanted now beyond those held, by class.
   std::uint32_t Prompt = 0;
   std::uint32_t Patient = 0;
   /// Time until the earliest prompt deadline; zero: none waits.
   Duration EarliestDeadline{};
-  /// Slots that the asker uses now on each worker, so that a scheduler that
-  /// takes over learns what is granted.
+  /// Slots that the asker holds now on each worker, used or not, so that a
+  /// scheduler that takes over learns what is granted.
   std::vector<std::pair<HostName, std::uint32_t>> InUse;
+  /// The pool whose requests want the slots; differs from Pool for a spill.
+  PoolName For;
+  /// Rises with each ask of one asker; an older ask that arrives late is void.
+  std::uint64_t Sequence = 0;
+  /// Number of the last grant that arrived at the asker; later ones aren't in
+  /// InUse yet.
+  std::uint64_t LastGrant = 0;
+  /// Slots of InUse that patient work holds.
+  std::uint32_t PatientInUse = 0;
+  /// Workers that the asker doesn't use now: they failed or refused.
+  std::vector<HostName> Avoid;
 
   auto operator<=>(const SlotAsk &) const = default;
 };
+/// Slots granted. Each ask is answered by at least one; without slots it says
+/// how many are free.
 struct SlotGrant {
   PoolName Pool;
   HostName Host;
   std::uint32_t Slots = 0;
   /// The grant is void after this time from its arrival unless used.
   Duration ValidFor{};
+  /// Copied from the ask.
+  PoolName For;
+  JobClass Class = JobClass::Prompt;
+  /// Rises with each grant of one scheduler entry.
+  std::uint64_t Number = 0;
+  /// Slots of the pool that nobody holds.
+  std::uint32_t Free = 0;
 
   auto operator<=>(const SlotGrant &) const = default;
 };
@@ -229,6 +249,8 @@
   AttemptId Attempt;
   /// A hint when to try again; zero: none.
   Duration RetryAfter{};
+  /// With ClaimTaken: how the first request with the key ended, if known.
+  std::optional<Outcome> First;
 };
 /// Claim the key in the store before the request may run.
 struct ClaimKey {
