--- a/Source/Base/include/balsamlatch/Base/Ring.h
+++ b/Source/Base/include/balsamlatch/Base/Ring.h
@@ -40,6 +40,22 @@
     return true;
   }
 
+  /// Adds an item, waiting for room. Returns false only when the ring is
+  /// closed. Two threads must not both wait on each other's rings.
+  bool push(T Item) {
+    {
+      std::unique_lock Guard(Lock);
+      Emptied.wait(Guard, [this] { return Closed || !Items.full(); });
+      if (Closed) {
+        ++Refusals;
+        return false;
+      }
+      Items.push_back(std::move(Item));
+    }
+    Filled.notify_one();
+    return true;
+  }
+
   /// Takes all items that are there, waiting up to \p Wait for the first.
   std::vector<T> popAll(std::chrono::microseconds Wait) {
     std::unique_lock Guard(Lock);
@@ -50,6 +66,8 @@
       Taken.push_back(std::move(Items.front()));
       Items.pop_front();
     }
+    Guard.unlock();
+    Emptied.notify_all();
     return Taken;
   }
 
@@ -60,6 +78,7 @@
       Closed = true;
     }
     Filled.notify_all();
+    Emptied.notify_all();
   }
 
   bool closed() const {
@@ -81,6 +100,7 @@
 private:
   mutable std::mutex Lock;
   std::condition_variable Filled;
+  std::condition_variable Emptied;
   // Invariant: never holds more than the capacity given at construction.
   boost::circular_buffer<T> Items;
   std::uint64_t Refusals = 0;
