--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -80,7 +80,8 @@
       fail(New, absl::StrCat("not an IP number: ", Ip));
     } else if (!isWritable(New->Message)) {
       fail(New, "the request has a control character in its head");
-    } else if (Owner->QueuedCalls >= Options.MaxQueuedPerAddress) {
+    } else if (!hasConnection(*Owner) &&
+               Owner->QueuedCalls >= Options.MaxQueuedPerAddress) {
       fail(New, "too many calls wait for a connection");
     } else {
       New->Queued = true;
@@ -143,6 +144,11 @@
     return &New;
   }
 
+  bool hasConnection(const Pool &Owner) const {
+    return !Owner.Idle.empty() ||
+           Owner.Connections < Options.MaxConnectionsPerAddress;
+  }
+
   /// Gives waiting calls to connections while there are both.
   void pump(Pool &Owner) {
     while (!Owner.Queue.empty()) {
