membership: Spread only what changes the view

Cause: each start told everybody about everybody; at 200 entries that news took minutes to run dry and doubled the traffic. Change: entries of the platform's list and bare restarts are no news.

--- a/Source/Membership/Group.cpp
+++ b/Source/Membership/Group.cpp
@@ -32,7 +32,9 @@
   GroupStep Step;
   for (const Member &M : Listed) {
     if (M.Entry != Self.Entry && find(M.Entry) == nullptr) {
-      learn(M, Now, Step);
+      // No news: every entry has the same list.
+      Peers[M.Entry] = Peer{M, Now};
+      Step.ViewChanged |= isLive(M.State);
     }
   }
   return Step;
@@ -131,10 +133,14 @@
     return;
   }
   const bool WasLive = Known != nullptr && isLive(Known->Known.State);
-  const bool Same = Known != nullptr && Known->Known.At == About.At;
+  const bool SameAddress = Known != nullptr && Known->Known.At == About.At;
+  const bool SameState = Known != nullptr && Known->Known.State == About.State;
   Peers[About.Entry] = Peer{About, Now};
-  Step.ViewChanged |= WasLive != isLive(About.State) || !Same;
-  spread(About.Entry);
+  Step.ViewChanged |= WasLive != isLive(About.State) || !SameAddress;
+  if (!SameState || !SameAddress) {
+    // A restart alone is no news: the entry is live before and after.
+    spread(About.Entry);
+  }
 }
 
 void Group::learnAll(const std::vector<Member> &NewsItems, Instant Now,
