membership: Probe once a second

Cause: 2.2 KB/s sent and as much taken at 200 entries leaves nothing of the 4 KB/s for the ledger and the slots. Change: probe period 1 s, answer within 300 ms, suspicion 2 s. Ruled out: shorter digests and names, which save under a quarter. Conclusion: kept; slower detection costs no promise, since workers and store decide about safety.

--- a/Source/Membership/include/balsamlatch/Membership/Group.h
+++ b/Source/Membership/include/balsamlatch/Membership/Group.h
@@ -23,11 +23,11 @@
   /// (the start's calendar time in microseconds serves).
   Member Self;
   std::uint64_t Seed = 1;
-  Duration ProbePeriod = std::chrono::milliseconds(500);
+  Duration ProbePeriod = std::chrono::seconds(1);
   /// Wait for a direct answer before others are asked to probe.
-  Duration AckTimeout = std::chrono::milliseconds(200);
+  Duration AckTimeout = std::chrono::milliseconds(300);
   /// Time to refute a suspicion.
-  Duration SuspicionTime = std::chrono::milliseconds(1500);
+  Duration SuspicionTime = std::chrono::seconds(2);
   /// Entries asked to probe in this entry's stead.
   unsigned IndirectProbes = 2;
   /// Each so many periods one dead member is probed too: after a cut between
