rules: Add the signed chain of versions and its adoption

Cause: neither one owner nor the store alone may forge, drop, revert or replay a change, and an entry without a disk must verify that by itself. Change: a change's signatures cover its edits and the chain it is based on; who lands it signs the chain with it. A head document of 8 to 16 changes and a base document suffice to verify the latest version from one pair of owners' keys; changes of keys need the old owners and the new key. Adoption keeps the highest verified version and serves peers. Result: TestRules passes; forged, cut, replayed, swapped, single-signed and third-key documents are refused.

--- a/Source/Rules/include/balsamlatch/Rules/Adoption.h
+++ b/Source/Rules/include/balsamlatch/Rules/Adoption.h
@@ -93,7 +93,8 @@
 public:
   explicit Adoption(AdoptionOptions Options);
 
-  /// Reads the head once. Watching it is the shell's part.
+  /// Reads the head until some rules are in force. Watching it is the shell's
+  /// part.
   std::vector<AdoptionAction> start(Instant Now);
 
   std::vector<AdoptionAction> handle(const AdoptionEvent &Event, Instant Now);
@@ -108,34 +109,44 @@
 private:
   using Actions = std::vector<AdoptionAction>;
 
+  /// A head that waits for its base document.
+  struct Pending {
+    HeadSeen Seen;
+    HeadDocument Head;
+  };
+
   void on(const HeadSeen &Seen, Instant Now, Actions &Out);
   void on(const BaseSeen &Seen, Instant Now, Actions &Out);
   void on(const StoreReplied &Replied, Instant Now, Actions &Out);
-  void on(const AdoptionTick &, Instant Now, Actions &Out);
+  void on(const AdoptionTick &Tick, Instant Now, Actions &Out);
+  void behind(const HeadSeen &Seen, const HeadDocument &Head,
+              Actions &Out) const;
+  void await(const HeadSeen &Seen, HeadDocument Head);
   void wantBase(Instant Now, Actions &Out);
-  void retryLater(Instant Now);
-  void tryBase(const BaseSeen &Seen, Instant Now, Actions &Out);
-  void adopt(const HeadSeen &Seen, HeadDocument Head, ChainState Next,
-             Actions &Out);
+  /// The pause before the next try; the one after it is longer.
+  Duration pause();
+  void follow(const HeadSeen &Seen, const HeadDocument &Head, ChainState Next,
+              Actions &Out);
+  absl::Status tryBase(const Pending &Candidate, const BaseDocument &Document,
+                       Actions &Out);
+  absl::Status adopt(const HeadSeen &Seen, const HeadDocument &Head,
+                     ChainState Next, Actions &Out);
+  void advanceBase(const HeadDocument &NextHead);
   void refuse(const std::string &From, RulesVersion Version,
               const absl::Status &Why, Actions &Out) const;
 
-  /// A head that waits for its base document.
-  struct Pending {
-    HeadSeen Seen;
-    HeadDocument Head;
-  };
-
   AdoptionOptions Options;
   // Invariant: State and Rules are of the same version, which only rises.
   std::optional<ChainState> State;
   RuleSetPtr Rules;
-  // The base document of the head in force, for peers.
-  std::optional<ChainState> BaseState;
-  std::optional<Pending> Waiting;
-  Duration Pause{};
-  Instant NextTryAt{};
-  bool HeadRead = false;
+  HeadDocument LastHead;
+  // Invariant: from LastHead.Base to State's version; handed to peers.
+  std::optional<ChainState> Base;
+  // Invariant: at most one for each sender.
+  std::vector<Pending> Waiting;
+  Duration Pause;
+  Instant NextHeadAt{};
+  Instant NextBaseAt{};
 };
 
 } // namespace balsamlatch
--- a/Source/Rules/include/balsamlatch/Rules/Chain.h
+++ b/Source/Rules/include/balsamlatch/Rules/Chain.h
@@ -106,6 +106,10 @@
   static absl::StatusOr<ChainState> first(const Genesis &First,
                                           std::string Text);
 
+  /// The state that a base document describes, whoever made it. DataLoss if
+  /// the document contradicts itself.
+  static absl::StatusOr<ChainState> fromBase(const BaseDocument &Base);
+
   /// The next version: verifies all signatures, base, chain and edits.
   /// - Aborted: the expected lines no longer stand; the message names them;
   /// - FailedPrecondition: the base is too old or from another chain;
@@ -117,6 +121,10 @@
   /// for the landing signature.
   absl::StatusOr<ChainState> land(const SignedChange &Subject) const;
 
+  /// The owners' keys once the change has landed; the checks of land() but for
+  /// the approvals.
+  absl::StatusOr<OwnerKeys> ownersAfter(const Change &Subject) const;
+
   RulesVersion version() const { return Version; }
   const Digest &chain() const { return Chain; }
   const std::string &text() const { return Text; }
@@ -124,12 +132,13 @@
   const OwnerKeys &owners() const { return Owners; }
   /// Whether the change made one of the last MaxBaseAge versions.
   bool contains(const Digest &Change) const;
+  /// Chain hash of an earlier version, or null if it isn't known any more.
+  const Digest *chainAt(RulesVersion At) const;
   /// The document from which this state can be made again.
   BaseDocument base() const;
 
 private:
-  friend absl::StatusOr<ChainState>
-  verifyHead(const HeadDocument &, const BaseDocument &, const OwnerKeys &);
+  friend class HeadVerifier;
 
   struct Past {
     ChainStep Step;
@@ -141,7 +150,6 @@
                               const OwnerKeys &After) const;
   /// Follows without looking at signatures.
   absl::StatusOr<ChainState> follow(const SignedChange &Subject) const;
-  static absl::StatusOr<ChainState> fromBase(const BaseDocument &Base);
 
   RulesVersion Version;
   Digest Chain;
@@ -164,11 +172,6 @@
 absl::StatusOr<ChainState> followHead(const HeadDocument &Head,
                                       const ChainState &From);
 
-std::string printHead(const HeadDocument &Head);
-absl::StatusOr<HeadDocument> parseHead(std::string_view Text);
-std::string printBase(const BaseDocument &Base);
-absl::StatusOr<BaseDocument> parseBase(std::string_view Text);
-
 } // namespace balsamlatch
 
 #endif // BALSAMLATCH_RULES_CHAIN_H
--- /dev/null
+++ b/Source/Rules/include/balsamlatch/Rules/ChainJson.h
@@ -0,0 +1,36 @@
+/// \file
+/// The JSON forms of changes and of the documents in the store.
+
+#ifndef BALSAMLATCH_RULES_CHAINJSON_H
+#define BALSAMLATCH_RULES_CHAINJSON_H
+
+#include "balsamlatch/Rules/Chain.h"
+
+#include <absl/status/statusor.h>
+#include <boost/json/value.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsamlatch {
+
+std::string printHead(const HeadDocument &Head);
+/// DataLoss if the text isn't a head document.
+absl::StatusOr<HeadDocument> parseHead(std::string_view Text);
+
+std::string printBase(const BaseDocument &Base);
+/// DataLoss if the text isn't a base document.
+absl::StatusOr<BaseDocument> parseBase(std::string_view Text);
+
+std::string printLandedChanges(const std::vector<LandedChange> &Changes);
+/// DataLoss if the text isn't a list of landed changes.
+absl::StatusOr<std::vector<LandedChange>>
+parseLandedChanges(std::string_view Text);
+
+boost::json::value toJson(const SignedChange &Subject);
+/// Reads a change; sets \p Good to false if it is faulty.
+SignedChange signedChangeOf(const boost::json::value &Value, bool &Good);
+
+} // namespace balsamlatch
+
+#endif // BALSAMLATCH_RULES_CHAINJSON_H
--- /dev/null
+++ b/Source/Rules/include/balsamlatch/Rules/Landing.h
@@ -0,0 +1,69 @@
+/// \file
+/// Making the next documents of the chain: the first version, and a head with
+/// one more change. Pure; the tool carries the documents to the store.
+
+#ifndef BALSAMLATCH_RULES_LANDING_H
+#define BALSAMLATCH_RULES_LANDING_H
+
+#include "balsamlatch/Rules/Chain.h"
+
+#include <absl/status/statusor.h>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace balsamlatch {
+
+/// Changes that a head keeps at least, and at which it is cut back.
+inline constexpr std::size_t HeadChangesKept = 8;
+inline constexpr std::size_t HeadChangesMost = 16;
+
+/// A verified chain, as read from the store.
+struct ChainView {
+  HeadDocument Head;
+  BaseDocument Base;
+  ChainState Latest;
+};
+
+/// Verifies the two documents. Without \p Trusted, the owners that the base
+/// document names are taken at their word.
+absl::StatusOr<ChainView> viewChain(std::string_view HeadText,
+                                    std::string_view BaseText,
+                                    const std::optional<OwnerKeys> &Trusted);
+
+/// Starts a chain with a checked text, signed by both owners. \p Version is
+/// greater than that of any chain that the store had before.
+absl::StatusOr<ChainView> startChain(std::string Text, RulesVersion Version,
+                                     std::string Nonce, const PrivateKey &A,
+                                     const PrivateKey &B);
+
+/// A change of the view's latest text, ready to be signed. InvalidArgument if
+/// the texts don't differ.
+absl::StatusOr<Change> makeChange(const ChainView &View,
+                                  std::string_view NewText, OwnerName Proposer,
+                                  std::string Reason, std::string Nonce);
+
+/// Keys that must sign the change and haven't. FailedPrecondition or Aborted
+/// if it can't land any more.
+absl::StatusOr<std::vector<PublicKey>>
+missingSigners(const ChainView &View, const SignedChange &Subject);
+
+/// What a landing writes, in this order: Retired to the log, the base document
+/// if it changes, then the head.
+struct LandingPlan {
+  ChainView View;
+  bool BaseChanges = false;
+  /// Changes that leave the head.
+  std::vector<LandedChange> Retired;
+};
+
+/// Adds the change to the head. Statuses of ChainState::next;
+/// InvalidArgument if the resulting text has findings;
+/// ResourceExhausted if the documents would grow beyond the store's values.
+absl::StatusOr<LandingPlan> planLanding(const ChainView &View,
+                                        const SignedChange &Subject,
+                                        const PrivateKey &Lander);
+
+} // namespace balsamlatch
+
+#endif // BALSAMLATCH_RULES_LANDING_H
--- /dev/null
+++ b/Tests/Rules/ChainFixture.h
@@ -0,0 +1,84 @@
+/// \file
+/// Keys and a short text for tests of the chain.
+
+#ifndef BALSAMLATCH_TESTS_RULES_CHAINFIXTURE_H
+#define BALSAMLATCH_TESTS_RULES_CHAINFIXTURE_H
+
+#include "balsamlatch/Rules/ChainJson.h"
+#include "balsamlatch/Rules/Landing.h"
+
+#include <fmt/format.h>
+#include <string>
+
+namespace balsamlatch::test {
+
+inline PrivateKey keyOf(std::string_view Name) {
+  const Digest Seed = sha256(fmt::format("balsamlatch example key {}", Name));
+  return *PrivateKey::fromSeed(Seed.Bytes);
+}
+
+/// Anna and Beat own the rules; Carl doesn't.
+struct Owners {
+  PrivateKey Anna = keyOf("anna");
+  PrivateKey Beat = keyOf("beat");
+  PrivateKey Carl = keyOf("carl");
+
+  OwnerKeys keys() const {
+    return ownerKeys(Anna.publicKey(), Beat.publicKey());
+  }
+};
+
+inline std::string ownerLine(std::string_view Name, const PrivateKey &Key) {
+  return fmt::format("owner {} key {} # {}", Name, toHex(Key.publicKey()),
+                     Name);
+}
+
+inline std::string firstText(const Owners &Keys) {
+  return ownerLine("anna", Keys.Anna) + "\n" + ownerLine("beat", Keys.Beat) +
+         "\n"
+         "pool counting 10 hosts away 10% worker 64 cores 256 GiB # Beat\n"
+         "pool deposits 10 hosts away 1 host worker 64 cores 256 GiB # Anna\n"
+         "quota drivers 40 slots in counting # Beat\n"
+         "quota treasurers 60 slots in deposits # Anna\n"
+         "away rack 2 hosts # Anna\n";
+}
+
+inline ChainView firstView(const Owners &Keys) {
+  return *startChain(firstText(Keys), RulesVersion(1), "n0", Keys.Anna,
+                     Keys.Beat);
+}
+
+/// The text with the first \p From replaced by \p To.
+inline std::string replaced(std::string Text, const std::string &From,
+                            const std::string &To) {
+  return Text.replace(Text.find(From), From.size(), To);
+}
+
+/// A change of the view's text, signed by the keys.
+inline SignedChange
+signedChange(const ChainView &View, const std::string &NewText,
+             std::initializer_list<const PrivateKey *> Signers,
+             const std::string &Nonce = "n") {
+  SignedChange Subject{
+      *makeChange(View, NewText, OwnerName("anna"), "test", Nonce), {}};
+  for (const PrivateKey *Key : Signers) {
+    Subject.Approvals.push_back(approve(Subject.Content, *Key));
+  }
+  return Subject;
+}
+
+/// The view after a change that sets the drivers' quota.
+inline ChainView withQuota(const ChainView &View, const Owners &Keys,
+                           unsigned Slots, bool AnnaLands = true) {
+  std::string Text = View.Latest.text();
+  const std::size_t Start = Text.find("quota drivers ");
+  Text.replace(Start, Text.find('\n', Start) - Start,
+               fmt::format("quota drivers {} slots in counting # Beat", Slots));
+  const SignedChange Subject =
+      signedChange(View, Text, {&Keys.Anna, &Keys.Beat});
+  return planLanding(View, Subject, AnnaLands ? Keys.Anna : Keys.Beat)->View;
+}
+
+} // namespace balsamlatch::test
+
+#endif // BALSAMLATCH_TESTS_RULES_CHAINFIXTURE_H
