--- a/Source/Placement/ClaimKeeper.cpp
+++ b/Source/Placement/ClaimKeeper.cpp
@@ -111,7 +111,7 @@
   for (std::uint32_t I = 0; I < Options.Shards; ++I) {
     kick((NextShard + I) % Options.Shards);
   }
-  NextShard = (NextShard + 1) % Options.Shards;
+  NextShard = NextShard + 1 < Options.Shards ? NextShard + 1 : 0;
 }
 
 void ClaimKeeper::kick(std::uint32_t Index) {
--- /dev/null
+++ b/Source/Placement/EngineSlots.cpp
@@ -0,0 +1,141 @@
+/// \file
+/// Slots exchanged between entries: asks, grants, and the scheduler's part.
+
+#include "EngineImpl.h"
+
+#include <algorithm>
+
+namespace balsamlatch::placement {
+
+PoolName Engine::Impl::sparePoolOf(const RuleSet &Rules) {
+  for (const auto &[Name, Rule] : Rules.Pools) {
+    if (Rule.Spare) {
+      return Name;
+    }
+  }
+  return {};
+}
+
+std::uint32_t Engine::Impl::spillingPools() const {
+  std::set<PoolName> Spilling;
+  for (const auto &[Name, Rule] : Rules->Jobs) {
+    if (Rule.MaySpill) {
+      Spilling.insert(Rule.Pool);
+    }
+  }
+  return static_cast<std::uint32_t>(Spilling.size());
+}
+
+/// Finds the scheduler of each pool, and takes up or lays down this entry's
+/// own part.
+void Engine::Impl::electSchedulers() {
+  if (Options.Choice != Policy::SlotGrants || Rules == nullptr) {
+    return;
+  }
+  for (auto &[Name, P] : Pools) {
+    const EntryName Scheduler = schedulerOf(Name, Live);
+    P.Own.setScheduler(Scheduler);
+    if (P.Spare) {
+      P.Spare->setScheduler(schedulerOf(SparePool, Live));
+    }
+    if (Scheduler == Options.Self) {
+      Schedulers.try_emplace(Name, Name);
+    } else {
+      Schedulers.erase(Name);
+    }
+  }
+  updateSchedulers();
+}
+
+void Engine::Impl::updateSchedulers() {
+  for (auto &[Name, Scheduler] : Schedulers) {
+    std::vector<WorkerSlots> Open;
+    for (const WorkerState *Worker : Workers.members(Name)) {
+      if (Worker->View.Accepting) {
+        Open.push_back({Worker->View.Host, Worker->View.Slots});
+      }
+    }
+    SchedulerLimits Limits;
+    Limits.PatientPercent = PatientPercent;
+    Limits.SpillingPools = Name == SparePool ? spillingPools() : 0;
+    Scheduler.setLimits(Limits);
+    Scheduler.setWorkers(Open);
+    Scheduler.setEntries(Live);
+  }
+}
+
+void Engine::Impl::on(const SlotMessageArrived &E) {
+  if (const auto *Ask = std::get_if<SlotAsk>(&E.Message)) {
+    const auto Found = Schedulers.find(Ask->Pool);
+    if (Found != Schedulers.end()) {
+      deliver(Found->second.asked(E.From, *Ask, Now));
+    }
+  } else if (const auto *Grant = std::get_if<SlotGrant>(&E.Message)) {
+    take(E.From, *Grant);
+  }
+}
+
+void Engine::Impl::take(const EntryName &From, const SlotGrant &Grant) {
+  PoolState &P = pool(Grant.For.empty() ? Grant.Pool : Grant.For);
+  const bool OnSpare = !Grant.For.empty() && Grant.For != Grant.Pool;
+  if (OnSpare && !P.Spare) {
+    return;
+  }
+  (OnSpare ? *P.Spare : P.Own).granted(From, Grant, Now);
+  Dirty.insert(Grant.For.empty() ? Grant.Pool : Grant.For);
+}
+
+void Engine::Impl::deliver(const SlotScheduler::Grants &Grants) {
+  for (const auto &[To, Grant] : Grants) {
+    if (To == Options.Self) {
+      take(To, Grant);
+    } else {
+      Out.push_back(SendSlotMessage{To, Grant});
+    }
+  }
+}
+
+/// Sends what asks are due. True if an answer from this entry's own schedulers
+/// may let more work start.
+bool Engine::Impl::exchangeSlots() {
+  if (Options.Choice != Policy::SlotGrants || Rules == nullptr) {
+    return false;
+  }
+  for (const PoolName &Name : std::exchange(Touched, {})) {
+    PoolState &P = pool(Name);
+    const std::uint32_t Unused = P.Own.unused();
+    const std::uint32_t Urgent = P.Queue.urgent();
+    SlotDemand Wanted;
+    Wanted.Prompt = Urgent - std::min(Urgent, Unused);
+    Wanted.Patient = P.Queue.unaged();
+    Wanted.EarliestDeadline = P.Queue.earliestLatestStart();
+    askFor(P.Own, Name, Wanted);
+    if (P.Spare) {
+      const bool Spilling = P.Own.poolFull() && Wanted.Prompt > 0;
+      const std::uint32_t Most = std::min(Wanted.Prompt, P.Queue.spillable());
+      Wanted.Prompt = Spilling ? Most - std::min(Most, P.Spare->unused()) : 0;
+      Wanted.Patient = 0;
+      askFor(*P.Spare, SparePool, Wanted);
+    }
+  }
+  return !Dirty.empty();
+}
+
+void Engine::Impl::askFor(SlotHolder &Holder, const PoolName &Target,
+                          const SlotDemand &Wanted) {
+  const std::optional<SlotAsk> Ask =
+      Holder.ask(Wanted, Now, [&] { return Workers.avoided(Target, Now); });
+  if (!Ask) {
+    return;
+  }
+  if (Holder.scheduler() != Options.Self) {
+    Out.push_back(SendSlotMessage{Holder.scheduler(), *Ask});
+    return;
+  }
+  const auto Found = Schedulers.find(Target);
+  if (Found != Schedulers.end()) {
+    deliver(Found->second.asked(Options.Self, *Ask, Now));
+  }
+}
+
+} // namespace balsamlatch::placement
--- a/Source/Placement/PoolQueue.cpp
+++ b/Source/Placement/PoolQueue.cpp
@@ -119,33 +119,42 @@
   return &Items.at(Ranks[In].begin()->Head.second).What;
 }
 
-const Waiting *PoolQueue::next(Instant Now, bool OnlySpill) {
+const Waiting *PoolQueue::nextUrgent(Instant Now) {
   age(Now);
-  if (OnlySpill) {
-    return head(Spill);
-  }
-  const bool PatientTurn = PromptInRow >= PromptStartsPerPatient;
-  if (PatientTurn && !Ranks[Patient].empty()) {
-    return head(Patient);
-  }
   const bool AnySpill = !Ranks[Spill].empty();
   const bool AnyFixed = !Ranks[Fixed].empty();
   if (AnySpill && AnyFixed) {
     return *Ranks[Spill].begin() < *Ranks[Fixed].begin() ? head(Spill)
                                                          : head(Fixed);
   }
-  if (AnySpill || AnyFixed) {
-    return head(AnySpill ? Spill : Fixed);
-  }
+  return head(AnySpill ? Spill : Fixed);
+}
+
+const Waiting *PoolQueue::nextPatient(Instant Now) {
+  age(Now);
   return head(Patient);
 }
 
-void PoolQueue::started(const Waiting &What) {
-  PromptInRow = What.Class == JobClass::Prompt ? PromptInRow + 1 : 0;
-  Team &T = teamFor(What.Team);
+const Waiting *PoolQueue::next(Instant Now) {
+  const Waiting *Urgent = nextUrgent(Now);
+  const bool PatientTurn = PromptInRow >= PromptStartsPerPatient;
+  if (Urgent == nullptr || (PatientTurn && !Ranks[Patient].empty())) {
+    return head(Patient);
+  }
+  return Urgent;
+}
+
+bool PoolQueue::waitsUnaged(RequestKey Key) const {
+  const auto Found = Items.find(Key);
+  return Found != Items.end() && Found->second.In == Patient;
+}
+
+void PoolQueue::started(const TeamName &Name, JobClass Class) {
+  PromptInRow = Class == JobClass::Prompt ? PromptInRow + 1 : 0;
+  Team &T = teamFor(Name);
   ActiveTeams += T.active() ? 0 : 1;
   ++T.InUse;
-  rank(What.Team, T);
+  rank(Name, T);
 }
 
 void PoolQueue::ended(const TeamName &Name) {
--- a/Source/Placement/WorkerTable.cpp
+++ b/Source/Placement/WorkerTable.cpp
@@ -11,8 +11,12 @@
 namespace {
 
 constexpr Duration FirstBlock = std::chrono::milliseconds(4);
-constexpr Duration LongestBlock = std::chrono::seconds(2);
-constexpr std::uint32_t MostDoublings = 9;
+/// A worker that refuses is mostly full, and soon free again.
+constexpr Duration LongestBlock = std::chrono::milliseconds(64);
+/// After this many refusals in a row it is more likely broken.
+constexpr std::uint32_t RefusalsOfFullWorker = 16;
+constexpr Duration LongestBlockOfBroken = std::chrono::seconds(8);
+constexpr std::uint32_t MostDoublings = 20;
 constexpr int Draws = 3;
 
 bool contains(const std::vector<HostName> &Hosts, const HostName &Host) {
@@ -36,11 +40,18 @@
     Worker->Listed = true;
     PoolMembers &Members = ByPool[View.Pool];
     Members.All.push_back(Worker.get());
+    Members.Slots += View.Accepting ? View.Slots : 0;
     if (Worker->BlockedUntil > Now) {
       Members.Blocked.emplace(Worker->BlockedUntil, View.Host);
     }
+    if (Worker->Ejected) {
+      Members.Ejected.insert(View.Host);
+    }
     refresh(*Worker, Now);
   }
+  for (auto &[Host, Worker] : ByHost) {
+    Worker->Ejected = Worker->Ejected && Worker->Listed;
+  }
   std::erase_if(ByHost, [](const auto &Item) {
     return !Item.second->Listed && Item.second->InUse == 0;
   });
@@ -73,14 +84,23 @@
 
 void WorkerTable::setEjected(WorkerState &Worker, bool Ejected, Instant Now) {
   Worker.Ejected = Ejected;
+  std::set<HostName> &Out = ByPool[Worker.View.Pool].Ejected;
+  if (Ejected) {
+    Out.insert(Worker.View.Host);
+  } else {
+    Out.erase(Worker.View.Host);
+  }
   refresh(Worker, Now);
 }
 
 void WorkerTable::refused(WorkerState &Worker, Instant Now) {
-  const std::uint32_t Doublings = std::min(Worker.Refusals, MostDoublings);
-  ++Worker.Refusals;
-  const Duration Block =
-      std::min(LongestBlock, FirstBlock * (std::int64_t(1) << Doublings));
+  const std::uint32_t Refusals = Worker.Refusals++;
+  const bool Broken = Refusals >= RefusalsOfFullWorker;
+  const std::uint32_t Doublings = std::min(
+      Broken ? Refusals - RefusalsOfFullWorker : Refusals, MostDoublings);
+  const Duration Block = std::min(Broken ? LongestBlockOfBroken : LongestBlock,
+                                  (Broken ? LongestBlock : FirstBlock) *
+                                      (std::int64_t(1) << Doublings));
   Worker.BlockedUntil = Now + Block;
   const auto Members = ByPool.find(Worker.View.Pool);
   if (Worker.Listed && Members != ByPool.end()) {
@@ -133,11 +153,8 @@
 }
 
 std::uint32_t WorkerTable::slots(const PoolName &Pool) const {
-  std::uint32_t Total = 0;
-  for (const WorkerState *Worker : members(Pool)) {
-    Total += Worker->View.Accepting ? Worker->View.Slots : 0;
-  }
-  return Total;
+  const auto Found = ByPool.find(Pool);
+  return Found == ByPool.end() ? 0 : Found->second.Slots;
 }
 
 std::uint32_t WorkerTable::slotsInUse(const PoolName &Pool) const {
@@ -149,9 +166,26 @@
 }
 
 std::uint32_t WorkerTable::ejected(const PoolName &Pool) const {
-  const std::vector<WorkerState *> &All = members(Pool);
-  return static_cast<std::uint32_t>(std::count_if(
-      All.begin(), All.end(), [](const WorkerState *W) { return W->Ejected; }));
+  const auto Found = ByPool.find(Pool);
+  return Found == ByPool.end()
+             ? 0
+             : static_cast<std::uint32_t>(Found->second.Ejected.size());
+}
+
+std::vector<HostName> WorkerTable::avoided(const PoolName &Pool,
+                                           Instant Now) const {
+  std::vector<HostName> Out;
+  const auto Found = ByPool.find(Pool);
+  if (Found == ByPool.end()) {
+    return Out;
+  }
+  const PoolMembers &Members = Found->second;
+  Out.assign(Members.Ejected.begin(), Members.Ejected.end());
+  for (auto Item = Members.Blocked.upper_bound(Now);
+       Item != Members.Blocked.end(); ++Item) {
+    Out.push_back(Item->second);
+  }
+  return Out;
 }
 
 const std::vector<WorkerState *> &
--- a/Source/Placement/include/balsamlatch/Placement/PoolQueue.h
+++ b/Source/Placement/include/balsamlatch/Placement/PoolQueue.h
@@ -48,13 +48,21 @@
   /// False if the request doesn't wait here.
   bool remove(RequestKey Key);
 
-  /// The request to start next, or null. \p OnlySpill: the next prompt one
-  /// that may run on the spare pool.
-  const Waiting *next(Instant Now, bool OnlySpill = false);
+  /// The request to start next, or null.
+  const Waiting *next(Instant Now);
+  /// The next prompt request, aged patient ones included.
+  const Waiting *nextUrgent(Instant Now);
+  /// The next prompt request that may run on the spare pool.
+  const Waiting *nextSpill() const { return head(Spill); }
+  /// The next patient request that hasn't aged.
+  const Waiting *nextPatient(Instant Now);
+
+  /// Whether the request waits here as patient work that hasn't aged.
+  bool waitsUnaged(RequestKey Key) const;
 
   /// A request got a slot; a request of the team gave its slot back.
-  void started(const Waiting &What);
-  void ended(const TeamName &Team);
+  void started(const TeamName &Name, JobClass Class);
+  void ended(const TeamName &Name);
 
   std::size_t size() const { return Items.size(); }
   bool empty() const { return Items.empty(); }
@@ -62,6 +70,14 @@
   std::uint32_t patient() const {
     return static_cast<std::uint32_t>(Items.size()) - Prompt;
   }
+  /// Requests in prompt order, aged patient ones included.
+  std::uint32_t urgent() const {
+    return static_cast<std::uint32_t>(Items.size() - Ageing.size());
+  }
+  /// Patient requests that haven't aged.
+  std::uint32_t unaged() const {
+    return static_cast<std::uint32_t>(Ageing.size());
+  }
   /// Prompt requests that may run on the spare pool.
   std::uint32_t spillable() const { return Spillable; }
   /// Latest start of the most urgent prompt request.
--- a/Source/Placement/include/balsamlatch/Placement/WorkerTable.h
+++ b/Source/Placement/include/balsamlatch/Placement/WorkerTable.h
@@ -6,19 +6,18 @@
 #define BALSAMLATCH_PLACEMENT_WORKERTABLE_H
 
 #include "balsamlatch/Placement/Events.h"
+#include "balsamlatch/Placement/RetryBudget.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <random>
+#include <set>
 #include <unordered_map>
 #include <vector>
 
 namespace balsamlatch::placement {
 
-using Random = std::mt19937_64;
-
 /// One worker as this entry sees it.
 struct WorkerState {
   WorkerView View;
@@ -72,6 +71,8 @@
   std::uint32_t slots(const PoolName &Pool) const;
   std::uint32_t slotsInUse(const PoolName &Pool) const;
   std::uint32_t ejected(const PoolName &Pool) const;
+  /// Workers of the pool that this entry keeps from work now.
+  std::vector<HostName> avoided(const PoolName &Pool, Instant Now) const;
   /// Workers of the pool in the view.
   const std::vector<WorkerState *> &members(const PoolName &Pool) const;
 
@@ -83,6 +84,9 @@
     std::vector<WorkerState *> Usable;
     // Blocked members, by the instant at which they may be used again.
     std::multimap<Instant, HostName> Blocked;
+    std::set<HostName> Ejected;
+    // Slots of the members that accept work.
+    std::uint32_t Slots = 0;
     std::size_t Cursor = 0;
   };
 
--- a/Tests/Placement/Harness.h
+++ b/Tests/Placement/Harness.h
@@ -52,11 +52,16 @@
 struct Harness {
   explicit Harness(unsigned Workers = 4, std::uint32_t Slots = 8,
                    EngineOptions Options = {})
-      : Core(std::move(Options)) {
+      : Core(named(std::move(Options))) {
     send(RulesChanged{sampleRules()});
     send(WorkersChanged{sampleWorkers("counting", Workers, Slots)});
   }
 
+  static EngineOptions named(EngineOptions Options) {
+    Options.Self = EntryName("e1");
+    return Options;
+  }
+
   /// Drives one event; the actions replace those of the event before.
   void send(const Event &Happened) { Actions = Core.handle(Happened, Now); }
 
