--- a/Source/Fleet/Budget.cpp
+++ b/Source/Fleet/Budget.cpp
@@ -9,21 +9,10 @@
 
 namespace {
 
-template <typename Predicate>
-AwayCount countHosts(const Ledger &Value, Predicate Belongs) {
-  AwayCount Count;
-  for (const auto &[Host, Record] : Value.Hosts) {
-    if (Belongs(Record)) {
-      ++Count.Members;
-      Count.Away += Record.away() ? 1 : 0;
-    }
-  }
-  return Count;
-}
-
-bool movesOut(const HostRecord &Record) {
-  return Record.InHand.Kind == OperationKind::Move &&
-         !Record.InHand.Cancelled && Record.InHand.Target != Record.Pool;
+template <typename Key, typename Value>
+Value valueOf(const std::map<Key, Value> &All, const Key &Of) {
+  const auto Found = All.find(Of);
+  return Found == All.end() ? Value() : Found->second;
 }
 
 std::string overBudget(const std::string &Group, const AwayCount &Count,
@@ -32,24 +21,22 @@
                      Count.Away, Count.Members, Allowed);
 }
 
-void checkPool(const Ledger &Value, const PoolRule &Rule, OperationKind Kind,
+void checkPool(const AwayCounts &Counts, const PoolRule &Rule,
                std::vector<Hindrance> &Found) {
-  const AwayCount Count = countPool(Value, Rule.Pool);
-  const std::uint32_t Stay =
-      Count.Members - (Kind == OperationKind::Move ? 1 : 0);
-  const std::uint32_t Allowed = Rule.Away.allowed(Stay);
+  const AwayCount Count = Counts.pool(Rule.Pool);
+  const std::uint32_t Allowed = Rule.Away.allowed(Count.Members);
   if (Count.Away + 1 > Allowed) {
     Found.push_back({"budget-pool", Rule.Origin.Line,
                      overBudget("pool " + Rule.Pool.Text, Count, Allowed)});
   }
 }
 
-void checkDomains(const Ledger &Value, const RuleSet &Rules,
+void checkDomains(const AwayCounts &Counts, const RuleSet &Rules,
                   const HostRecord &Record, std::vector<Hindrance> &Found) {
   for (const DomainRule &Rule : Rules.Domains) {
     const bool Rack = Rule.Kind == DomainKind::Rack;
-    const AwayCount Count = Rack ? countRack(Value, Record.Rack)
-                                 : countDataCentre(Value, Record.DataCentre);
+    const AwayCount Count =
+        Rack ? Counts.rack(Record.Rack) : Counts.dataCentre(Record.DataCentre);
     const std::uint32_t Allowed = Rule.Away.allowed(Count.Members);
     if (Count.Away + 1 > Allowed) {
       const std::string Group = Rack ? "rack " + Record.Rack.Text
@@ -60,16 +47,13 @@
   }
 }
 
-void checkDemand(const Ledger &Value, const PoolRule &Rule,
+void checkDemand(const AwayCounts &Counts, const PoolRule &Rule,
                  const HostsNeeded &Needed, std::vector<Hindrance> &Found) {
   const auto Need = Needed.find(Rule.Pool);
   if (Need == Needed.end()) {
     return;
   }
-  const AwayCount Count = countHosts(Value, [&](const HostRecord &Record) {
-    return Record.Pool == Rule.Pool;
-  });
-  const std::uint32_t Accepting = Count.Members - Count.Away;
+  const std::uint32_t Accepting = Counts.accepting(Rule.Pool);
   if (Accepting < Need->second + 1) {
     Found.push_back({"forecast-demand", 0,
                      fmt::format("pool {} has {} accepting hosts and needs {}",
@@ -79,48 +63,71 @@
 
 } // namespace
 
-AwayCount countPool(const Ledger &Value, const PoolName &Pool) {
-  AwayCount Count;
+AwayCounts::AwayCounts(const Ledger &Value) {
   for (const auto &[Host, Record] : Value.Hosts) {
-    if (Record.Pool == Pool) {
-      Count.Members += movesOut(Record) ? 0 : 1;
-      Count.Away += Record.away() ? 1 : 0;
-    }
+    add(Record);
   }
-  return Count;
 }
 
-AwayCount countRack(const Ledger &Value, const RackName &Rack) {
-  return countHosts(
-      Value, [&](const HostRecord &Record) { return Record.Rack == Rack; });
+AwayCount AwayCounts::pool(const PoolName &Pool) const {
+  return valueOf(Pools, Pool);
 }
 
-AwayCount countDataCentre(const Ledger &Value, const DataCentreName &Centre) {
-  return countHosts(Value, [&](const HostRecord &Record) {
-    return Record.DataCentre == Centre;
-  });
+AwayCount AwayCounts::rack(const RackName &Rack) const {
+  return valueOf(Racks, Rack);
 }
 
-std::vector<Hindrance> mayGoAway(const Ledger &Value, const RuleSet &Rules,
-                                 const HostName &Host, OperationKind Kind,
+AwayCount AwayCounts::dataCentre(const DataCentreName &Centre) const {
+  return valueOf(Centres, Centre);
+}
+
+std::uint32_t AwayCounts::accepting(const PoolName &Pool) const {
+  return valueOf(Accepting, Pool);
+}
+
+void AwayCounts::add(const HostRecord &Record) { count(Record, 1); }
+
+void AwayCounts::remove(const HostRecord &Record) {
+  // Unsigned numbers wrap round: adding the largest takes one away.
+  count(Record, ~std::uint32_t(0));
+}
+
+void AwayCounts::count(const HostRecord &Record, std::uint32_t Step) {
+  const std::uint32_t AwayStep = Record.away() ? Step : 0;
+  Pools[Record.Pool].Members += Step;
+  Pools[Record.Pool].Away += AwayStep;
+  Accepting[Record.Pool] += Step - AwayStep;
+  Racks[Record.Rack].Members += Step;
+  Racks[Record.Rack].Away += AwayStep;
+  Centres[Record.DataCentre].Members += Step;
+  Centres[Record.DataCentre].Away += AwayStep;
+}
+
+std::vector<Hindrance> mayGoAway(const AwayCounts &Counts, const RuleSet &Rules,
+                                 const HostRecord &Record,
                                  const HostsNeeded &Needed) {
   std::vector<Hindrance> Found;
-  const auto Record = Value.Hosts.find(Host);
-  if (Record == Value.Hosts.end()) {
-    return {{"host-unknown", 0, "the ledger has no host " + Host.Text}};
-  }
-  if (Record->second.away()) {
+  if (Record.away()) {
     return Found;
   }
-  const PoolRule *Rule = Rules.pool(Record->second.Pool);
+  const PoolRule *Rule = Rules.pool(Record.Pool);
   if (Rule == nullptr) {
-    return {
-        {"pool-unknown", 0, "no rule for pool " + Record->second.Pool.Text}};
+    return {{"pool-unknown", 0, "no rule for pool " + Record.Pool.Text}};
   }
-  checkPool(Value, *Rule, Kind, Found);
-  checkDomains(Value, Rules, Record->second, Found);
-  checkDemand(Value, *Rule, Needed, Found);
+  checkPool(Counts, *Rule, Found);
+  checkDomains(Counts, Rules, Record, Found);
+  checkDemand(Counts, *Rule, Needed, Found);
   return Found;
 }
 
+std::vector<Hindrance> mayGoAway(const Ledger &Value, const RuleSet &Rules,
+                                 const HostName &Host,
+                                 const HostsNeeded &Needed) {
+  const auto Record = Value.Hosts.find(Host);
+  if (Record == Value.Hosts.end()) {
+    return {{"host-unknown", 0, "the ledger has no host " + Host.Text}};
+  }
+  return mayGoAway(AwayCounts(Value), Rules, Record->second, Needed);
+}
+
 } // namespace balsamlatch::fleet
--- a/Source/Fleet/Controller.cpp
+++ b/Source/Fleet/Controller.cpp
@@ -8,8 +8,9 @@
 #include "HostSteps.h"
 #include "LeaseHolder.h"
 #include "LedgerWriter.h"
-#include "Operations.h"
 #include "OperatorOrders.h"
+#include "Recovery.h"
+#include "WavePlanner.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -268,6 +269,9 @@
   for (const auto &[Host, Record] : Known.Hosts) {
     logWait(Host, Steps.step(Host));
   }
+  logWait({}, recordLosses(Next, Observed, Now));
+  replaceLost(Next, Observed, *Rules, Needed, Now, Wall, Self);
+  planWave(Next, *Rules, Needed, Wall, Self);
 }
 
 void Controller::Impl::write(Draft Next) {
--- a/Source/Fleet/Draft.cpp
+++ b/Source/Fleet/Draft.cpp
@@ -15,6 +15,9 @@
   if (Found == Next.Hosts.end()) {
     return absl::NotFoundError("the ledger has no host " + Host.Text);
   }
+  if (Found->second.StateVersion > BaseVersion) {
+    return absl::FailedPreconditionError("changed in this draft already");
+  }
   const absl::StatusOr<HostState> State =
       nextState(Found->second.State, Change);
   if (!State.ok()) {
--- a/Source/Fleet/Draft.h
+++ b/Source/Fleet/Draft.h
@@ -24,8 +24,8 @@
   /// The host's record, or null.
   const HostRecord *find(const HostName &Host) const;
 
-  /// Changes the host's state. FailedPrecondition: not legal now, nothing is
-  /// changed. NotFound: no such host.
+  /// Changes the host's state, once in a draft. FailedPrecondition: not legal
+  /// now, nothing is changed. NotFound: no such host.
   absl::Status change(const HostName &Host, HostChange Change);
 
   /// The record for changes other than of its state. The host must be there.
--- a/Source/Fleet/Operations.cpp
+++ b/Source/Fleet/Operations.cpp
@@ -35,7 +35,7 @@
                     stateCode(Record->State), Record->InHand.Id));
   }
   const std::vector<Hindrance> Why =
-      mayGoAway(Next.value(), Rules, Host, Hand.Kind, Needed);
+      mayGoAway(Next.value(), Rules, Host, Needed);
   if (!Why.empty()) {
     return absl::FailedPreconditionError(describe(Why));
   }
@@ -61,7 +61,8 @@
   if (Lost.InHand.Id.empty()) {
     Lost.InHand.Id = fmt::format("lost-{}-{}", Host.Text, Lost.StateVersion);
   }
-  if (Before.InHand.Kind == OperationKind::Maintain) {
+  if (Before.InHand.Kind == OperationKind::Maintain &&
+      Next.value().Wave.Size != 0) {
     ++Next.editWhole().Wave.Lost;
   }
   Next.note(Host, "host-lost", 0,
--- a/Source/Fleet/include/balsamlatch/Fleet/Budget.h
+++ b/Source/Fleet/include/balsamlatch/Fleet/Budget.h
@@ -40,18 +40,43 @@
   auto operator<=>(const AwayCount &) const = default;
 };
 
-/// Counts a pool. A host that is moving out is no member any more, but still
-/// counts as away.
-AwayCount countPool(const Ledger &Value, const PoolName &Pool);
-AwayCount countRack(const Ledger &Value, const RackName &Rack);
-AwayCount countDataCentre(const Ledger &Value, const DataCentreName &Centre);
-
-/// Everything that keeps the host from going away for an operation of the kind
-/// given, in the order pool, failure domains, demand. Empty: it may go. A host
-/// that is away already meets no hindrance.
+/// Counts of a ledger by pool, rack and data centre.
+class AwayCounts {
+public:
+  explicit AwayCounts(const Ledger &Value);
+
+  /// A host that moves is a member of its old pool, and away, until it is in
+  /// the new one. Then the old pool has one member less and one host less
+  /// away, and a budget of at most all hosts that held before still holds.
+  AwayCount pool(const PoolName &Pool) const;
+  AwayCount rack(const RackName &Rack) const;
+  AwayCount dataCentre(const DataCentreName &Centre) const;
+  /// Hosts of the pool that take new work.
+  std::uint32_t accepting(const PoolName &Pool) const;
+
+  /// Adds a host's record, or takes it out.
+  void add(const HostRecord &Record);
+  void remove(const HostRecord &Record);
+
+private:
+  void count(const HostRecord &Record, std::uint32_t Step);
+
+  std::map<PoolName, AwayCount> Pools;
+  std::map<PoolName, std::uint32_t> Accepting;
+  std::map<RackName, AwayCount> Racks;
+  std::map<DataCentreName, AwayCount> Centres;
+};
+
+/// Everything that keeps the host from going away, in the order pool, failure
+/// domains, demand. Empty: it may go. A host that is away already meets no
+/// hindrance.
+std::vector<Hindrance> mayGoAway(const AwayCounts &Counts, const RuleSet &Rules,
+                                 const HostRecord &Record,
+                                 const HostsNeeded &Needed);
+
+/// The same for a host by its name.
 std::vector<Hindrance> mayGoAway(const Ledger &Value, const RuleSet &Rules,
                                  const HostName &Host,
-                                 OperationKind Kind = OperationKind::Maintain,
                                  const HostsNeeded &Needed = {});
 
 } // namespace balsamlatch::fleet
--- /dev/null
+++ b/Tests/Fleet/World.cpp
@@ -0,0 +1,436 @@
+/// \file
+/// The fakes and their event loop.
+
+#include "World.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <set>
+
+namespace balsamlatch::fleet::test {
+
+using namespace std::chrono_literals;
+
+RuleSet worldRules(const WorldOptions &Options, Duration Period) {
+  RuleSet Rules;
+  Rules.Version = RulesVersion(1);
+  unsigned Line = 0;
+  for (unsigned I = 0; I < Options.Pools; ++I) {
+    PoolRule Pool;
+    Pool.Pool = PoolName(fmt::format("p{}", I));
+    Pool.Spare = I + 1 == Options.Pools;
+    Pool.Away = {AwayBudget::Kind::Percent, 10};
+    Pool.Hosts = Options.Hosts / Options.Pools;
+    Pool.Origin.Line = ++Line;
+    Rules.Pools.emplace(Pool.Pool, Pool);
+  }
+  Rules.Domains.push_back(
+      {DomainKind::Rack, {AwayBudget::Kind::Percent, 50}, {++Line, ""}});
+  Rules.Domains.push_back(
+      {DomainKind::DataCentre, {AwayBudget::Kind::Percent, 20}, {++Line, ""}});
+  Rules.Maintenance.Period = Period;
+  Rules.Maintenance.StopPercent = 10;
+  Rules.Maintenance.Origin.Line = ++Line;
+  return Rules;
+}
+
+World::World(WorldOptions Options, RuleSet InForce)
+    : Settings(Options), Rules(std::make_shared<RuleSet>(std::move(InForce))),
+      Engine(Options.Seed) {
+  for (unsigned I = 0; I < Settings.Hosts; ++I) {
+    Host One;
+    One.Home.Pool = PoolName(fmt::format("p{}", I % Settings.Pools));
+    const unsigned Rack = I / Settings.HostsPerRack;
+    One.Home.Rack = RackName(fmt::format("r{:03}", Rack));
+    One.Home.DataCentre =
+        DataCentreName(fmt::format("d{}", Rack % Settings.Centres));
+    Hosts.emplace(HostName(fmt::format("h{:04}", I)), std::move(One));
+  }
+  Entries.resize(Settings.Entries);
+  for (unsigned I = 0; I < Settings.Controllers; ++I) {
+    Node &One = Nodes.emplace_back();
+    One.Machine = std::make_unique<Controller>(ControllerOptions{
+        EntryName(fmt::format("e{}", I)), "r", Settings.Seed * 31 + I});
+    deliver(I, RulesSeen{Rules});
+  }
+  at(0us, [this] { tickListing(); });
+  at(10ms, [this] { tickControllers(); });
+  at(20ms, [this] { tickEntries(); });
+}
+
+void World::at(Duration Delay, std::function<void()> What) {
+  Agenda.emplace(Time + Delay, std::move(What));
+}
+
+Duration World::random(Duration From, Duration To) {
+  return Duration(std::uniform_int_distribution<Duration::rep>(
+      From.count(), To.count())(Engine));
+}
+
+bool World::chance(unsigned Percent) {
+  return std::uniform_int_distribution<unsigned>(0, 99)(Engine) < Percent;
+}
+
+WallTime World::wall() const {
+  return WallTime(Time.time_since_epoch() + std::chrono::hours(24 * 365 * 50));
+}
+
+void World::run(Duration Length) {
+  const Instant End = Time + Length;
+  while (!Agenda.empty() && Agenda.begin()->first <= End) {
+    const auto First = Agenda.begin();
+    Time = First->first;
+    const std::function<void()> What = std::move(First->second);
+    Agenda.erase(First);
+    What();
+  }
+  Time = End;
+}
+
+bool World::runUntil(const std::function<bool()> &Reached, Duration Limit) {
+  const Instant End = Time + Limit;
+  while (Time < End) {
+    run(1s);
+    if (Reached()) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void World::storeDown(Duration Length) { StoreDownUntil = Time + Length; }
+
+void World::storeSlow(Duration Latency, Duration Length) {
+  SlowLatency = Latency;
+  StoreSlowUntil = Time + Length;
+}
+
+void World::loseAnswers(unsigned Percent, Duration Length) {
+  LosePercent = Percent;
+  LoseUntil = Time + Length;
+}
+
+void World::pauseController(unsigned Index, Duration Length) {
+  Nodes[Index].PausedUntil = Time + Length;
+  at(Length, [this, Index] {
+    std::vector<FleetEvent> Late = std::move(Nodes[Index].Backlog);
+    Nodes[Index].Backlog.clear();
+    for (const FleetEvent &Event : Late) {
+      deliver(Index, Event);
+    }
+  });
+}
+
+void World::bringDown(Host &Target, Duration Length) {
+  const Instant Until = Time + Length;
+  Target.Running = 0;
+  Target.Up = false;
+  Target.DownUntil = std::max(Target.DownUntil, Until);
+  at(Length, [this, &Target] {
+    if (!Target.Up && Time >= Target.DownUntil) {
+      Target.Up = true;
+      ++Target.BootCount;
+    }
+  });
+}
+
+void World::crash(const HostName &Name, Duration Length) {
+  Host &Target = Hosts.at(Name);
+  bringDown(Target, Length);
+  // Some workers forget over a crash that they were drained.
+  Target.Draining = Target.Draining && chance(50);
+}
+
+void World::crashRack(const RackName &Rack, Duration Length) {
+  for (auto &[Name, Target] : Hosts) {
+    if (Target.Home.Rack == Rack) {
+      crash(Name, Length);
+    }
+  }
+}
+
+void World::crashCentre(const DataCentreName &Centre, Duration Length) {
+  for (auto &[Name, Target] : Hosts) {
+    if (Target.Home.DataCentre == Centre) {
+      crash(Name, Length);
+    }
+  }
+}
+
+void World::slowReboot(const HostName &Name, Duration Length) {
+  Hosts.at(Name).NextReboot = Length;
+}
+
+void World::deafenEntry(unsigned Index, Duration Length) {
+  Entries[Index].DeafUntil = Time + Length;
+}
+
+void World::cutEntry(unsigned Index, Duration Length) {
+  Entries[Index].CutUntil = Time + Length;
+}
+
+void World::muteWorker(const HostName &Name, Duration Length) {
+  Hosts.at(Name).MuteUntil = Time + Length;
+}
+
+void World::ask(unsigned Index, OperatorAsked Asked) {
+  deliver(Index, FleetEvent(std::move(Asked)));
+}
+
+bool World::logged(const std::string &Reason) const {
+  return std::any_of(
+      LogLines.begin(), LogLines.end(),
+      [&](const LogFleetDecision &Line) { return Line.Reason == Reason; });
+}
+
+std::vector<HostName> World::hostNames() const {
+  std::vector<HostName> Names;
+  for (const auto &[Name, Target] : Hosts) {
+    Names.push_back(Name);
+  }
+  return Names;
+}
+
+void World::deliver(unsigned Index, const FleetEvent &Event) {
+  Node &To = Nodes[Index];
+  if (Time < To.PausedUntil) {
+    if (!std::holds_alternative<FleetTick>(Event)) {
+      To.Backlog.push_back(Event);
+    }
+    return;
+  }
+  carryOut(Index, To.Machine->handle(Event, Time, wall()));
+}
+
+void World::carryOut(unsigned Index, std::vector<FleetAction> Actions) {
+  for (FleetAction &Action : Actions) {
+    if (const auto *Submit = std::get_if<SubmitToStore>(&Action)) {
+      submit(Index, *Submit);
+    } else if (const auto *Give = std::get_if<GiveOrder>(&Action)) {
+      const bool Lost = Time < LoseUntil && chance(LosePercent);
+      at(random(5ms, 100ms), [this, Index, Order = *Give, Lost] {
+        absl::Status Done = obey(Order.Order);
+        if (Lost) {
+          Done = absl::DeadlineExceededError("lost");
+        }
+        deliver(Index, OrderReplied{Order.Of, std::move(Done)});
+      });
+    } else if (const auto *Ask = std::get_if<AskWorker>(&Action)) {
+      at(random(1ms, 50ms),
+         [this, Index, Name = Ask->Host] { report(Index, Name); });
+    } else if (const auto *Answer = std::get_if<AnswerOperator>(&Action)) {
+      Answers[Answer->Question] = Answer->Status;
+    } else if (auto *Line = std::get_if<LogFleetDecision>(&Action)) {
+      LogLines.push_back(std::move(*Line));
+    }
+  }
+}
+
+void World::submit(unsigned Index, const SubmitToStore &Action) {
+  if (Time < StoreDownUntil) {
+    at(random(1ms, 20ms), [this, Index, Of = Action.Of] {
+      deliver(Index, StoreReplied{Of, {absl::UnavailableError("down"), {}}});
+    });
+    return;
+  }
+  const Duration Slow = Time < StoreSlowUntil ? SlowLatency : 5ms;
+  at(random(1ms, Slow), [this, Index, Action, Slow] {
+    StoreReply Reply = apply(Action.Request);
+    const bool Lost =
+        Time < StoreDownUntil || (Time < LoseUntil && chance(LosePercent));
+    if (Lost) {
+      Reply = {absl::DeadlineExceededError("lost"), {}};
+    }
+    at(random(1ms, Slow), [this, Index, Of = Action.Of, Reply] {
+      deliver(Index, StoreReplied{Of, Reply});
+    });
+  });
+}
+
+StoreReply World::apply(const StoreRequest &Request) {
+  if (const auto *Swap = std::get_if<StoreSwap>(&Request)) {
+    return applySwap(*Swap);
+  }
+  if (const auto *Acquire = std::get_if<LeaseAcquire>(&Request)) {
+    return applyLease(*Acquire);
+  }
+  return {absl::OkStatus(), Stored};
+}
+
+StoreReply World::applySwap(const StoreSwap &Swap) {
+  ++Count.Swaps;
+  if (Swap.ExpectedVersion != Stored.Version) {
+    return {absl::AbortedError("version"), Stored};
+  }
+  // Versions of a key rise, but not by one.
+  Stored.Version += static_cast<std::uint64_t>(random(1us, 3us).count());
+  Stored.Value = Swap.Value;
+  History.push_back({Stored.Version, decodeLedger(Stored.Value).value()});
+  announce();
+  return {absl::OkStatus(), Stored};
+}
+
+StoreReply World::applyLease(const LeaseAcquire &Acquire) {
+  if (Time < LeaseUntil && LeaseHolderName != Acquire.Holder) {
+    return {absl::AbortedError("held"), {1, LeaseHolderName}};
+  }
+  LeaseHolderName = Acquire.Holder;
+  LeaseUntil = Time + Acquire.TimeToLive;
+  return {absl::OkStatus(), {1, LeaseHolderName}};
+}
+
+void World::announce() {
+  const StoreEntry Now = Stored;
+  for (unsigned I = 0; I < Nodes.size(); ++I) {
+    at(random(1ms, 300ms), [this, I, Now] {
+      deliver(I, LedgerSeen{Now.Version, Now.Value});
+    });
+  }
+}
+
+absl::Status World::obey(const HostOrder &Order) {
+  Host &Target = Hosts.at(Order.Host);
+  if (Target.DoneOrders.contains(Order.Operation)) {
+    return absl::OkStatus();
+  }
+  if (!Target.Up) {
+    return absl::UnavailableError("the host is down");
+  }
+  switch (Order.Kind) {
+  case HostOrderKind::Drain:
+    Target.Draining = true;
+    break;
+  case HostOrderKind::Return:
+    Target.Draining = false;
+    break;
+  case HostOrderKind::Reboot:
+    if (absl::Status Refused = reboot(Target); !Refused.ok()) {
+      return Refused;
+    }
+    break;
+  case HostOrderKind::Assign:
+    if (!Target.Draining || Target.Running > 0) {
+      return absl::FailedPreconditionError("not drained");
+    }
+    Target.Home.Pool = Order.Pool;
+    break;
+  }
+  Target.DoneOrders.insert(Order.Operation);
+  return absl::OkStatus();
+}
+
+absl::Status World::reboot(Host &Target) {
+  if (Target.Running > 0) {
+    ++Count.RebootsRefused;
+    return absl::FailedPreconditionError("a task runs");
+  }
+  ++Count.Reboots;
+  // A host that takes tasks is no host to reboot.
+  Count.TasksCut += Target.Draining ? 0 : 1;
+  const Duration Length = Target.NextReboot > Duration::zero()
+                              ? Target.NextReboot
+                              : Settings.RebootTime;
+  Target.NextReboot = Duration::zero();
+  bringDown(Target, Length);
+  return absl::OkStatus();
+}
+
+void World::report(unsigned Index, const HostName &Name) {
+  const Host &Target = Hosts.at(Name);
+  WorkerSeen Seen;
+  Seen.Host = Name;
+  if (!Target.Up || Time < Target.MuteUntil) {
+    Seen.Status = absl::UnavailableError("no answer");
+    at(1s, [this, Index, Seen] { deliver(Index, Seen); });
+    return;
+  }
+  Seen.Report = {Target.Draining, Target.Running, 8, Target.BootCount, {}};
+  at(random(1ms, 50ms), [this, Index, Seen] { deliver(Index, Seen); });
+}
+
+void World::tickControllers() {
+  EntriesSeen Live;
+  for (unsigned I = 0; I < Entries.size(); ++I) {
+    if (Time >= Entries[I].CutUntil) {
+      Live.Live.push_back(
+          {EntryName(fmt::format("e{}", I)), Entries[I].Version});
+    }
+  }
+  for (unsigned I = 0; I < Nodes.size(); ++I) {
+    deliver(I, Live);
+    if (!Wanted.Pools.empty()) {
+      deliver(I, Wanted);
+    }
+    deliver(I, FleetTick());
+  }
+  at(FleetTickPeriod, [this] { tickControllers(); });
+}
+
+void World::tickEntries() {
+  for (Entry &One : Entries) {
+    const bool Hears =
+        Time >= One.DeafUntil && Time >= One.CutUntil && Time >= StoreDownUntil;
+    if (Hears && One.Version != Stored.Version) {
+      One.Version = Stored.Version;
+      One.View = History.back().Value;
+    }
+    if (Settings.Load) {
+      placeTask(One);
+    }
+  }
+  at(random(100ms, 300ms), [this] { tickEntries(); });
+}
+
+void World::placeTask(Entry &From) {
+  if (From.View.Hosts.empty()) {
+    return;
+  }
+  auto Chosen = From.View.Hosts.begin();
+  std::advance(Chosen,
+               random(0us, Duration(From.View.Hosts.size() - 1)).count());
+  if (!Chosen->second.accepting()) {
+    return;
+  }
+  const auto Present = ledger().Hosts.find(Chosen->first);
+  const bool Hears = Time >= From.DeafUntil + 3s &&
+                     Time >= From.CutUntil + 3s && Time >= StoreDownUntil + 3s;
+  if (Hears && Present != ledger().Hosts.end() && Present->second.away() &&
+      Present->second.State != HostState::Failed &&
+      From.Version < Present->second.StateVersion && From.Version != 0) {
+    ++Count.LateTasks;
+  }
+  Host &Worker = Hosts.at(Chosen->first);
+  if (!Worker.Up || Worker.Draining || Worker.Running >= 8) {
+    return;
+  }
+  ++Worker.Running;
+  ++Count.TasksStarted;
+  const std::uint64_t Boot = Worker.BootCount;
+  at(random(50ms, Settings.LongestTask), [&Worker, Boot] {
+    if (Worker.BootCount == Boot && Worker.Running > 0) {
+      --Worker.Running;
+    }
+  });
+}
+
+void World::tickListing() {
+  HostListing Listing;
+  Listing.Generation =
+      static_cast<std::uint64_t>(Time.time_since_epoch().count());
+  for (const auto &[Name, Target] : Hosts) {
+    Listing.Hosts.push_back({Name,
+                             HostRole::Worker,
+                             HostPresence::Live,
+                             {},
+                             Target.Home.Rack,
+                             Target.Home.DataCentre,
+                             Target.Home.Pool});
+  }
+  for (unsigned I = 0; I < Nodes.size(); ++I) {
+    at(random(1s, 5s),
+       [this, I, Listing] { deliver(I, ListingSeen{Listing}); });
+  }
+  at(10s, [this] { tickListing(); });
+}
+
+} // namespace balsamlatch::fleet::test
