daemon: Add the fleet, claims, peers and operators' parts

The threads of the shell around the pure cores: fleet controller with the adoption of rules, claims on idempotency keys, the sealed link between entries, and the operators' pages.

--- a/Source/Daemon/CallerMessages.cpp
+++ b/Source/Daemon/CallerMessages.cpp
@@ -75,6 +75,7 @@
   case Reason::UnknownJob:
     return 404;
   case Reason::NeverFits:
+  case Reason::KeyReused:
     return 422;
   case Reason::ClaimTaken:
     return 409;
@@ -154,6 +155,10 @@
   Answer.Headers["balsamlatch-request"] = End.Id.Text;
   Answer.Headers["balsamlatch-outcome"] = Outcome;
   Answer.Headers["balsamlatch-reason"] = Reason;
+  if (End.First) {
+    Answer.Headers["balsamlatch-first-outcome"] =
+        placement::outcomeCode(*End.First);
+  }
   if (Answer.Status == 503 || End.RetryAfter > Duration::zero()) {
     const auto Wait = std::chrono::ceil<std::chrono::seconds>(End.RetryAfter);
     Answer.Headers["retry-after"] =
--- a/Source/Daemon/DecisionThread.cpp
+++ b/Source/Daemon/DecisionThread.cpp
@@ -3,6 +3,8 @@
 
 #include "balsamlatch/Daemon/DecisionThread.h"
 
+#include "balsamlatch/Rules/Chain.h"
+
 #include <utility>
 #include <variant>
 
@@ -62,7 +64,7 @@
     }
     const Instant Now = TimeSource.now();
     if (Now >= NextTick) {
-      handle(DecisionInput{placement::Tick{}, nullptr}, Batch);
+      handle(placement::Event(placement::Tick{}), Batch);
       NextTick = Now + placement::TickPeriod;
     }
     flush(Batch);
@@ -77,22 +79,13 @@
 }
 
 void DecisionThread::handle(const DecisionInput &Input, NetworkBatch &Batch) {
-  const auto *Changed = std::get_if<placement::RulesChanged>(&Input.Happened);
-  if (Changed != nullptr && Changed->Rules != nullptr) {
-    Rules = Changed->Rules->Version;
-  } else if (Input.InForce != nullptr) {
-    LedgerVersion = Input.InForce->Version;
-  }
-  for (placement::Action &Wanted :
-       Engine.handle(Input.Happened, TimeSource.now())) {
-    dispatch(std::move(Wanted), Batch);
-  }
-  for (RequestId &Id : std::exchange(FailedClaims, {})) {
-    const placement::ClaimSettled Settled{std::move(Id),
-                                          placement::ClaimResult::Unavailable};
-    handle(DecisionInput{Settled, nullptr}, Batch);
+  if (Input.Happened) {
+    handle(*Input.Happened, Batch);
   }
   if (Input.InForce != nullptr) {
+    if (Input.InForce->Key != HeadKey) {
+      LedgerVersion = Input.InForce->Version;
+    }
     Batch.InForce.push_back(Input.InForce);
   }
   if (Batch.Actions.size() >= BatchActions) {
@@ -100,17 +93,38 @@
   }
 }
 
+void DecisionThread::handle(const placement::Event &Happened,
+                            NetworkBatch &Batch) {
+  if (const auto *Changed = std::get_if<placement::RulesChanged>(&Happened)) {
+    Rules = Changed->Rules->Version;
+  }
+  for (placement::Action &Wanted : Engine.handle(Happened, TimeSource.now())) {
+    dispatch(std::move(Wanted), Batch);
+  }
+  for (RequestId &Id : std::exchange(FailedClaims, {})) {
+    placement::ClaimSettled Settled;
+    Settled.Id = std::move(Id);
+    Settled.Result = placement::ClaimResult::Unavailable;
+    handle(placement::Event(std::move(Settled)), Batch);
+  }
+}
+
 void DecisionThread::dispatch(placement::Action Wanted, NetworkBatch &Batch) {
   if (auto *Line = std::get_if<placement::LogDecision>(&Wanted)) {
     record(std::move(*Line));
   } else if (auto *Claim = std::get_if<placement::ClaimKey>(&Wanted)) {
     const RequestId Id = Claim->Id;
+    Claimed.insert(Id);
     if (!Outlets.Claim(std::move(*Claim))) {
       FailedClaims.push_back(Id);
     }
   } else if (auto *Message = std::get_if<placement::SendSlotMessage>(&Wanted)) {
     Outlets.Peer(std::move(*Message));
   } else {
+    const auto *End = std::get_if<placement::FinishRequest>(&Wanted);
+    if (End != nullptr && Claimed.erase(End->Id) > 0) {
+      Outlets.ClaimEnded(End->Id, End->End);
+    }
     Batch.Actions.push_back(std::move(Wanted));
   }
 }
--- a/Source/Daemon/Settings.cpp
+++ b/Source/Daemon/Settings.cpp
@@ -74,15 +74,25 @@
   return absl::OkStatus();
 }
 
-absl::Status setAddresses(std::vector<Address> &Into, std::string_view Value) {
+absl::Status setPeers(std::vector<KnownPeer> &Into, std::string_view Value) {
   while (!Value.empty()) {
     const std::size_t Comma = Value.find(',');
-    Address One;
-    if (absl::Status Read = setAddress(One, trim(Value.substr(0, Comma)));
+    const std::string_view One = trim(Value.substr(0, Comma));
+    const std::size_t At = One.find('@');
+    if (At == std::string_view::npos) {
+      return absl::InvalidArgumentError(
+          fmt::format("'{}' is not entry@address", One));
+    }
+    KnownPeer Peer;
+    if (absl::Status Read = setName(Peer.Entry.Text, One.substr(0, At));
+        !Read.ok()) {
+      return Read;
+    }
+    if (absl::Status Read = setAddress(Peer.At, One.substr(At + 1));
         !Read.ok()) {
       return Read;
     }
-    Into.push_back(std::move(One));
+    Into.push_back(std::move(Peer));
     Value = Comma == std::string_view::npos ? std::string_view()
                                             : trim(Value.substr(Comma + 1));
   }
@@ -163,8 +173,9 @@
        into(&Settings::Store, setAddress)},
       {"platform", "host-list", true, "127.0.0.1:7002",
        into(&Settings::HostList, setAddress)},
-      {"peers", "addresses", false, "127.0.0.1:8181, 127.0.0.1:8281",
-       into(&Settings::KnownPeers, setAddresses)},
+      {"peers", "entries", false,
+       "entry-2@127.0.0.1:8181, entry-3@127.0.0.1:8281",
+       into(&Settings::KnownPeers, setPeers)},
       {"peers", "secret-file", true, "/etc/balsamlatch/peer.secret",
        into(&Settings::PeerSecretFile, setText)},
       {"log", "level", false, "info", into(&Settings::LowestLevel, setLevel)},
--- /dev/null
+++ b/Source/Daemon/balsamlatchd.cpp
@@ -0,0 +1,138 @@
+/// \file
+/// The daemon's front: arguments, settings, signals. Everything else is in the
+/// Daemon package.
+
+#include "balsamlatch/Base/Log.h"
+#include "balsamlatch/Daemon/Daemon.h"
+#include "balsamlatch/Daemon/Settings.h"
+#include "balsamlatch/Wire/PeerSeal.h"
+
+#include <absl/status/statusor.h>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cxxopts.hpp>
+#include <fmt/format.h>
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace balsamlatch;
+
+enum ExitCode { ExitDone = 0, ExitFailed = 1, ExitUsage = 2 };
+
+struct Arguments {
+  std::string ConfigFile;
+  bool CheckOnly = false;
+};
+
+absl::StatusOr<std::string> readFile(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  std::ostringstream Text;
+  if (!File || !(Text << File.rdbuf())) {
+    return absl::NotFoundError(fmt::format("{}: can't be read", Path));
+  }
+  return Text.str();
+}
+
+/// The arguments, or the code to exit with.
+std::variant<Arguments, ExitCode> parseArguments(int Count, char **Values) {
+  cxxopts::Options Options("balsamlatchd",
+                           "Serves callers and keeps the fleet in order.");
+  Options.add_options()("config", "settings file (INI)",
+                        cxxopts::value<std::string>(), "FILE")(
+      "check", "check the settings and exit")("help", "print this help");
+  try {
+    const cxxopts::ParseResult Parsed = Options.parse(Count, Values);
+    if (Parsed.count("help") > 0) {
+      fmt::print("{}", Options.help());
+      return ExitDone;
+    }
+    if (Parsed.count("config") == 0) {
+      fmt::print(stderr, "balsamlatchd: --config FILE is missing\n");
+      return ExitUsage;
+    }
+    return Arguments{Parsed["config"].as<std::string>(),
+                     Parsed.count("check") > 0};
+  } catch (const cxxopts::exceptions::exception &Fault) {
+    fmt::print(stderr, "balsamlatchd: {}\n", Fault.what());
+    return ExitUsage;
+  }
+}
+
+std::variant<daemon::DaemonOptions, ExitCode>
+readSettings(const Arguments &Given) {
+  const absl::StatusOr<std::string> Text = readFile(Given.ConfigFile);
+  if (!Text.ok()) {
+    fmt::print(stderr, "balsamlatchd: {}\n",
+               std::string(Text.status().message()));
+    return ExitUsage;
+  }
+  daemon::ParsedSettings Parsed =
+      daemon::parseSettings(Given.ConfigFile, *Text);
+  if (Parsed.Problems.hasErrors()) {
+    fmt::print(stderr, "{}", Parsed.Problems.render());
+    return ExitUsage;
+  }
+  daemon::DaemonOptions Options;
+  Options.Values = std::move(Parsed.Values);
+  absl::StatusOr<std::string> Secret = readFile(Options.Values.PeerSecretFile);
+  if (!Secret.ok() || Secret->size() < wire::LeastSecretBytes) {
+    fmt::print(stderr,
+               "balsamlatchd: {}: the peer secret must be a file of at least "
+               "{} bytes\n",
+               Options.Values.PeerSecretFile, wire::LeastSecretBytes);
+    return ExitUsage;
+  }
+  Options.PeerSecret = *std::move(Secret);
+  return Options;
+}
+
+int serve(daemon::DaemonOptions Options) {
+  const SystemClock Time;
+  Log Lines(Time, stderr,
+            {Options.Values.LowestLevel, Options.Values.LogLinesPerReason});
+  daemon::Daemon Entry(std::move(Options), Time, Lines);
+  // Signals are taken from before the start, so that none is missed.
+  boost::asio::io_context Signals;
+  boost::asio::signal_set Wanted(Signals, SIGTERM, SIGINT);
+  Wanted.async_wait([&Entry](const boost::system::error_code &Fault, int) {
+    if (!Fault) {
+      Entry.requestStop();
+    }
+  });
+  if (const absl::Status Started = Entry.start(); !Started.ok()) {
+    fmt::print(stderr, "balsamlatchd: {}\n", std::string(Started.message()));
+    return ExitFailed;
+  }
+  std::thread Listener([&Signals] { Signals.run(); });
+  const bool Drained = Entry.wait();
+  Signals.stop();
+  Listener.join();
+  return Drained ? ExitDone : ExitFailed;
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  std::signal(SIGPIPE, SIG_IGN);
+  const auto Given = parseArguments(Count, Values);
+  if (const auto *Code = std::get_if<ExitCode>(&Given)) {
+    return *Code;
+  }
+  const auto &Wanted = std::get<Arguments>(Given);
+  auto Read = readSettings(Wanted);
+  if (const auto *Code = std::get_if<ExitCode>(&Read)) {
+    return *Code;
+  }
+  if (Wanted.CheckOnly) {
+    fmt::print("{}: no errors\n", Wanted.ConfigFile);
+    return ExitDone;
+  }
+  return serve(std::get<daemon::DaemonOptions>(std::move(Read)));
+}
--- a/Source/Daemon/include/balsamlatch/Daemon/Board.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/Board.h
@@ -86,6 +86,10 @@
   Published<FleetStanding> Fleet;
   Published<std::vector<PeerStanding>> Peers;
   Published<RuleSetPtr> Rules;
+  /// Text of the rules in force, and the base document for peers; null before
+  /// the first rules.
+  Published<std::shared_ptr<const std::string>> RulesText;
+  Published<std::shared_ptr<const std::string>> RulesBase;
   ShellCounters Counters;
   /// Callers may be sent here by the balancer.
   std::atomic<bool> Ready = false;
--- a/Source/Daemon/include/balsamlatch/Daemon/DecisionThread.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/DecisionThread.h
@@ -14,7 +14,9 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <thread>
+#include <unordered_set>
 #include <vector>
 
 namespace balsamlatch::daemon {
@@ -22,9 +24,9 @@
 using DocumentPtr = std::shared_ptr<const membership::Document>;
 
 /// An event for the engine. InForce, if set, is a document of rules or ledger
-/// that the event puts in force.
+/// that is in force once the event is handled.
 struct DecisionInput {
-  placement::Event Happened;
+  std::optional<placement::Event> Happened;
   DocumentPtr InForce;
 };
 
@@ -41,6 +43,9 @@
   std::function<void(NetworkBatch)> Network;
   /// False: the claim could not be handed over; it settles as unavailable.
   std::function<bool(placement::ClaimKey)> Claim;
+  /// A request that asked for a claim ended. Lossy: the claim then lasts to its
+  /// end.
+  std::function<void(RequestId, placement::Outcome)> ClaimEnded;
   /// Lossy: a slot message that can't be handed over is dropped.
   std::function<void(placement::SendSlotMessage)> Peer;
 };
@@ -69,6 +74,7 @@
 private:
   void run();
   void handle(const DecisionInput &Input, NetworkBatch &Batch);
+  void handle(const placement::Event &Happened, NetworkBatch &Batch);
   void dispatch(placement::Action Wanted, NetworkBatch &Batch);
   void record(placement::LogDecision Line);
   void flush(NetworkBatch &Batch);
@@ -83,6 +89,8 @@
   Ring<DecisionInput> Inbox;
   RulesVersion Rules;
   std::uint64_t LedgerVersion = 0;
+  // Open requests that asked for a claim.
+  std::unordered_set<RequestId> Claimed;
   // Claims that could not be handed over, settled after the batch at hand.
   std::vector<RequestId> FailedClaims;
   std::thread Runner;
--- a/Source/Daemon/include/balsamlatch/Daemon/Settings.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/Settings.h
@@ -47,6 +47,14 @@
   auto operator<=>(const TlsSettings &) const = default;
 };
 
+/// Another entry that this one asks first.
+struct KnownPeer {
+  EntryName Entry;
+  Address At;
+
+  auto operator<=>(const KnownPeer &) const = default;
+};
+
 /// Immutable once read.
 struct Settings {
   EntryName Entry;
@@ -57,8 +65,8 @@
   Address Operators{"127.0.0.1", 0};
   Address Store;
   Address HostList;
-  /// Peer addresses to start with; more are learnt from the host list.
-  std::vector<Address> KnownPeers;
+  /// Entries to start with; more are learnt from the host list.
+  std::vector<KnownPeer> KnownPeers;
   /// File with the secret that peers share, at least 32 bytes.
   std::string PeerSecretFile;
   /// The owners that sign the first rules: name and 64 hexadecimal digits of
