rules: Add proposals, retired changes and the time of a proposal

Cause: the tool needs a list of changes that wait for signatures, and a log from which earlier versions can be made again. Change: a proposals document; changes that leave the head carry the edits that undo them. The head is cut back by what the store already holds, so that a landing that loses its race can't leave a base document nobody attests.

--- a/Source/Rules/ChainJson.cpp
+++ b/Source/Rules/ChainJson.cpp
@@ -54,6 +54,23 @@
   return Edit;
 }
 
+json::array editsJson(const std::vector<LineEdit> &Edits) {
+  json::array List;
+  for (const LineEdit &Edit : Edits) {
+    List.push_back(editJson(Edit));
+  }
+  return List;
+}
+
+std::vector<LineEdit> editsOf(const JsonFields &Fields, std::string_view Name,
+                              bool &Good) {
+  std::vector<LineEdit> Edits;
+  Fields.each(Name, [&](const json::value &Edit) {
+    Edits.push_back(editOf(Edit, Good));
+  });
+  return Edits;
+}
+
 json::object approvalJson(const Approval &Given) {
   return {{"key", toHex(Given.Key)}, {"signature", toHex(Given.Signed)}};
 }
@@ -165,10 +182,6 @@
 
 json::value toJson(const SignedChange &Subject) {
   const Change &Content = Subject.Content;
-  json::array Edits;
-  for (const LineEdit &Edit : Content.Edits) {
-    Edits.push_back(editJson(Edit));
-  }
   json::array NewOwners;
   for (const PublicKey &Key : Content.NewOwners) {
     NewOwners.push_back(json::string(toHex(Key)));
@@ -177,8 +190,9 @@
                       {"baseChain", toHex(Content.BaseChain)},
                       {"proposer", Content.Proposer.Text},
                       {"reason", Content.Reason},
+                      {"proposedAt", Content.ProposedAt},
                       {"nonce", Content.Nonce},
-                      {"edits", std::move(Edits)},
+                      {"edits", editsJson(Content.Edits)},
                       {"newOwners", std::move(NewOwners)},
                       {"approvals", approvalsJson(Subject.Approvals)}};
 }
@@ -191,10 +205,9 @@
   Content.BaseChain = Fields.hex<Digest>("baseChain");
   Content.Proposer = OwnerName(Fields.text("proposer"));
   Content.Reason = Fields.text("reason");
+  Content.ProposedAt = Fields.number("proposedAt");
   Content.Nonce = Fields.text("nonce");
-  Fields.each("edits", [&](const json::value &Edit) {
-    Content.Edits.push_back(editOf(Edit, Good));
-  });
+  Content.Edits = editsOf(Fields, "edits", Good);
   Fields.each("newOwners", [&](const json::value &Key) {
     const json::string *Text = Key.if_string();
     const absl::StatusOr<PublicKey> Parsed =
@@ -260,21 +273,63 @@
   return Base;
 }
 
-std::string printLandedChanges(const std::vector<LandedChange> &Changes) {
-  return json::serialize(json::object{{"changes", landedListJson(Changes)}});
+std::string printRetired(const std::vector<RetiredChange> &Changes) {
+  json::array List;
+  for (const RetiredChange &Retired : Changes) {
+    json::object Entry = landedJson(Retired.Landed);
+    Entry["undo"] = editsJson(Retired.Undo);
+    List.push_back(std::move(Entry));
+  }
+  return json::serialize(json::object{{"changes", std::move(List)}});
 }
 
-absl::StatusOr<std::vector<LandedChange>>
-parseLandedChanges(std::string_view Text) {
+absl::StatusOr<std::vector<RetiredChange>> parseRetired(std::string_view Text) {
   json::error_code Error;
   const json::value Value = json::parse(Text, Error);
   bool Good = !Error;
-  const JsonFields Fields(Value, Good);
-  std::vector<LandedChange> Changes = landedListOf(Fields, "changes", Good);
+  std::vector<RetiredChange> Changes;
+  JsonFields(Value, Good).each("changes", [&](const json::value &Entry) {
+    Changes.push_back({landedOf(Entry, Good),
+                       editsOf(JsonFields(Entry, Good), "undo", Good)});
+  });
   if (!Good) {
-    return faulty("list of changes");
+    return faulty("list of retired changes");
   }
   return Changes;
 }
 
+std::string printProposals(const Proposals &All) {
+  json::array Open;
+  for (const SignedChange &Subject : All.Open) {
+    Open.push_back(toJson(Subject));
+  }
+  json::array Closed;
+  for (const ClosedProposal &Gone : All.Closed) {
+    Closed.push_back(
+        json::object{{"id", Gone.Id}, {"by", Gone.By.Text}, {"how", Gone.How}});
+  }
+  return json::serialize(
+      json::object{{"open", std::move(Open)}, {"closed", std::move(Closed)}});
+}
+
+absl::StatusOr<Proposals> parseProposals(std::string_view Text) {
+  json::error_code Error;
+  const json::value Value = json::parse(Text, Error);
+  bool Good = !Error;
+  const JsonFields Fields(Value, Good);
+  Proposals All;
+  Fields.each("open", [&](const json::value &Subject) {
+    All.Open.push_back(signedChangeOf(Subject, Good));
+  });
+  Fields.each("closed", [&](const json::value &Entry) {
+    const JsonFields Gone(Entry, Good);
+    All.Closed.push_back(
+        {Gone.text("id"), OwnerName(Gone.text("by")), Gone.text("how")});
+  });
+  if (!Good) {
+    return faulty("list of proposals");
+  }
+  return All;
+}
+
 } // namespace balsamlatch
--- a/Source/Rules/Change.cpp
+++ b/Source/Rules/Change.cpp
@@ -25,6 +25,7 @@
   Fields.add(Subject.BaseChain);
   Fields.add(Subject.Proposer.Text);
   Fields.add(Subject.Reason);
+  Fields.add(Subject.ProposedAt);
   Fields.add(Subject.Nonce);
   Fields.add(static_cast<std::uint64_t>(Subject.Edits.size()));
   for (const LineEdit &Edit : Subject.Edits) {
--- a/Source/Rules/Landing.cpp
+++ b/Source/Rules/Landing.cpp
@@ -51,29 +51,42 @@
 }
 
 /// Cuts the head back to the changes that it should keep, or as near to that
-/// as the owners' signatures allow.
-void cutBack(LandingPlan &Plan) {
-  const ChainView Whole = Plan.View;
-  if (Whole.Head.Changes.size() < HeadChangesMost &&
-      printHead(Whole.Head).size() < HeadBytesWanted) {
-    return;
-  }
-  const std::uint64_t Latest = Whole.Latest.version().Value;
-  for (std::uint64_t Kept = HeadChangesKept; Kept < Whole.Head.Changes.size();
-       ++Kept) {
-    absl::StatusOr<ChainView> Cut = cutAt(Whole, RulesVersion(Latest - Kept));
-    if (!Cut.ok()) {
+/// as the owners' signatures allow. What is cut depends only on what is in the
+/// store already, so that racing landings agree on the base document.
+LandingPlan cutBack(const ChainView &View) {
+  if (View.Head.Changes.size() + 1 >= HeadChangesMost ||
+      printHead(View.Head).size() >= HeadBytesWanted) {
+    const std::uint64_t Latest = View.Latest.version().Value;
+    for (std::uint64_t Kept = HeadChangesKept - 1;
+         Kept < View.Head.Changes.size(); ++Kept) {
+      absl::StatusOr<ChainView> Cut = cutAt(View, RulesVersion(Latest - Kept));
+      if (Cut.ok()) {
+        return {*std::move(Cut), true, {}};
+      }
+    }
+  }
+  return {View, false, {}};
+}
+
+/// The changes that \p After no longer has, with the edits that undo them.
+std::vector<RetiredChange> retired(const ChainView &Before,
+                                   const ChainView &After) {
+  std::vector<RetiredChange> Gone;
+  absl::StatusOr<ChainState> State = ChainState::fromBase(Before.Base);
+  for (const LandedChange &Landed : Before.Head.Changes) {
+    if (!State.ok() || Landed.Version > After.Head.Base) {
+      break;
+    }
+    if (Landed.Version <= State->version()) {
       continue;
     }
-    Plan.View = *std::move(Cut);
-    Plan.BaseChanges = true;
-    for (const LandedChange &Landed : Whole.Head.Changes) {
-      if (Landed.Version <= Plan.View.Head.Base) {
-        Plan.Retired.push_back(Landed);
-      }
+    absl::StatusOr<ChainState> Next = State->next(Landed);
+    if (Next.ok()) {
+      Gone.push_back({Landed, diffTexts(Next->text(), State->text())});
     }
-    return;
+    State = std::move(Next);
   }
+  return Gone;
 }
 
 absl::Status checkSizes(const ChainView &View) {
@@ -136,14 +149,14 @@
 }
 
 absl::StatusOr<Change> makeChange(const ChainView &View,
-                                  std::string_view NewText, OwnerName Proposer,
-                                  std::string Reason, std::string Nonce) {
+                                  std::string_view NewText, ProposalNote Note) {
   Change Subject;
   Subject.Base = View.Latest.version();
   Subject.BaseChain = View.Latest.chain();
-  Subject.Proposer = std::move(Proposer);
-  Subject.Reason = std::move(Reason);
-  Subject.Nonce = std::move(Nonce);
+  Subject.Proposer = std::move(Note.Proposer);
+  Subject.Reason = std::move(Note.Reason);
+  Subject.ProposedAt = Note.ProposedAt;
+  Subject.Nonce = std::move(Note.Nonce);
   Subject.Edits = diffTexts(View.Latest.text(), NewText);
   if (Subject.Edits.empty()) {
     return absl::InvalidArgumentError("the text is the one in force");
@@ -196,12 +209,13 @@
   if (!Latest.ok()) {
     return Latest.status();
   }
-  LandingPlan Plan{{View.Head, View.Base, *std::move(Latest)}, false, {}};
+  LandingPlan Plan = cutBack(View);
+  Plan.Retired = retired(View, Plan.View);
+  Plan.View.Latest = *std::move(Latest);
   Plan.View.Head.Changes.push_back(Entry);
   if (!Subject.Content.NewOwners.empty()) {
     Plan.View.Head.KeyChanges.push_back(std::move(Entry));
   }
-  cutBack(Plan);
   const absl::Status Sizes = checkSizes(Plan.View);
   return Sizes.ok() ? absl::StatusOr<LandingPlan>(std::move(Plan)) : Sizes;
 }
--- a/Source/Rules/include/balsamlatch/Rules/ChainJson.h
+++ b/Source/Rules/include/balsamlatch/Rules/ChainJson.h
@@ -5,6 +5,8 @@
 #define BALSAMLATCH_RULES_CHAINJSON_H
 
 #include "balsamlatch/Rules/Chain.h"
+#include "balsamlatch/Rules/Landing.h"
+#include "balsamlatch/Rules/Proposals.h"
 
 #include <absl/status/statusor.h>
 #include <boost/json/value.hpp>
@@ -22,10 +24,13 @@
 /// DataLoss if the text isn't a base document.
 absl::StatusOr<BaseDocument> parseBase(std::string_view Text);
 
-std::string printLandedChanges(const std::vector<LandedChange> &Changes);
-/// DataLoss if the text isn't a list of landed changes.
-absl::StatusOr<std::vector<LandedChange>>
-parseLandedChanges(std::string_view Text);
+std::string printRetired(const std::vector<RetiredChange> &Changes);
+/// DataLoss if the text isn't a list of retired changes.
+absl::StatusOr<std::vector<RetiredChange>> parseRetired(std::string_view Text);
+
+std::string printProposals(const Proposals &All);
+/// DataLoss if the text isn't a proposals document.
+absl::StatusOr<Proposals> parseProposals(std::string_view Text);
 
 boost::json::value toJson(const SignedChange &Subject);
 /// Reads a change; sets \p Good to false if it is faulty.
--- a/Source/Rules/include/balsamlatch/Rules/Change.h
+++ b/Source/Rules/include/balsamlatch/Rules/Change.h
@@ -37,6 +37,8 @@
   Digest BaseChain;
   OwnerName Proposer;
   std::string Reason;
+  /// Seconds since 1970 UTC by the proposer's clock; for people only.
+  std::uint64_t ProposedAt = 0;
   /// Makes equal edits different changes; random digits.
   std::string Nonce;
   std::vector<LineEdit> Edits;
--- a/Source/Rules/include/balsamlatch/Rules/Landing.h
+++ b/Source/Rules/include/balsamlatch/Rules/Landing.h
@@ -31,6 +31,14 @@
                                     std::string_view BaseText,
                                     const std::optional<OwnerKeys> &Trusted);
 
+/// What a proposer says besides the text; the fields of Change.
+struct ProposalNote {
+  OwnerName Proposer;
+  std::string Reason;
+  std::uint64_t ProposedAt = 0;
+  std::string Nonce;
+};
+
 /// Starts a chain with a checked text, signed by both owners. \p Version is
 /// greater than that of any chain that the store had before.
 absl::StatusOr<ChainView> startChain(std::string Text, RulesVersion Version,
@@ -40,21 +48,29 @@
 /// A change of the view's latest text, ready to be signed. InvalidArgument if
 /// the texts don't differ.
 absl::StatusOr<Change> makeChange(const ChainView &View,
-                                  std::string_view NewText, OwnerName Proposer,
-                                  std::string Reason, std::string Nonce);
+                                  std::string_view NewText, ProposalNote Note);
 
 /// Keys that must sign the change and haven't. FailedPrecondition or Aborted
 /// if it can't land any more.
 absl::StatusOr<std::vector<PublicKey>>
 missingSigners(const ChainView &View, const SignedChange &Subject);
 
+/// A change that left the head, for the log.
+struct RetiredChange {
+  LandedChange Landed;
+  /// Turn the text of this version into that of the one before.
+  std::vector<LineEdit> Undo;
+
+  auto operator<=>(const RetiredChange &) const = default;
+};
+
 /// What a landing writes, in this order: Retired to the log, the base document
 /// if it changes, then the head.
 struct LandingPlan {
   ChainView View;
   bool BaseChanges = false;
   /// Changes that leave the head.
-  std::vector<LandedChange> Retired;
+  std::vector<RetiredChange> Retired;
 };
 
 /// Adds the change to the head. Statuses of ChainState::next;
