--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -55,6 +55,14 @@
   return Options;
 }
 
+/// A worker has 64 connections for all entries: kept ones go soon.
+http::ClientOptions workerClientOptions() {
+  http::ClientOptions Options;
+  Options.MaxConnectionsPerAddress = 10;
+  Options.IdleTimeout = std::chrono::seconds(5);
+  return Options;
+}
+
 placement::EngineOptions engineOptions(const Settings &Values,
                                        std::uint64_t Incarnation) {
   placement::EngineOptions Options;
@@ -128,6 +136,8 @@
   EventLoop StoreLoop;
   EventLoop Control;
 
+  http::Client StoreCaller;
+  http::Client WorkerCaller;
   HttpStore Backend;
   HttpHostPlatform Platform;
   HttpWorkerClient Workers;
@@ -152,9 +162,10 @@
     : Options(std::move(Wanted)), Sink(Log),
       Incarnation(incarnationAt(Time.wallNow())),
       Memory(Options.Values.Bounds.ExplainedDecisions),
-      Backend(StoreLoop.context(), Options.Values.Store),
-      Platform(StoreLoop.context(), Options.Values.HostList),
-      Workers(Network.context()), Counted(StoreLoop, Backend, Shown),
+      StoreCaller(StoreLoop.context(), http::ClientOptions()),
+      WorkerCaller(Network.context(), workerClientOptions()),
+      Backend(StoreCaller, Options.Values.Store),
+      Platform(StoreCaller, Options.Values.HostList), Workers(WorkerCaller), Counted(StoreLoop, Backend, Shown),
       ToNetwork(
           Network, BatchesToNetwork,
           [this](NetworkBatch Batch) { Callers.apply(std::move(Batch)); }),
--- a/Source/Daemon/FleetThread.cpp
+++ b/Source/Daemon/FleetThread.cpp
@@ -47,7 +47,7 @@
   return Workers;
 }
 
-FleetThread::FleetThread(fleet::ControllerOptions Options,
+FleetThread::FleetThread(const fleet::ControllerOptions &Options,
                          AdoptionOptions RulesOptions, const Clock &Time,
                          LogSink &Log, DecisionMemory &Decisions,
                          Board &Standing, FleetOutlets Out)
--- a/Source/Daemon/OperatorFront.cpp
+++ b/Source/Daemon/OperatorFront.cpp
@@ -106,7 +106,7 @@
 
 } // namespace
 
-OperatorFront::OperatorFront(EventLoop &Loop, Address At, Identity Entry,
+OperatorFront::OperatorFront(EventLoop &Loop, const Address &At, Identity Entry,
                              const Clock &Time, const DecisionMemory &Decisions,
                              const Board &Standing, LogSink &Log)
     : Control(Loop), Self(std::move(Entry)), TimeSource(Time),
--- a/Source/Daemon/include/balsamlatch/Daemon/FleetThread.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/FleetThread.h
@@ -42,7 +42,7 @@
 
 class FleetThread {
 public:
-  FleetThread(fleet::ControllerOptions Options, AdoptionOptions RulesOptions,
+  FleetThread(const fleet::ControllerOptions &Options, AdoptionOptions RulesOptions,
               const Clock &TimeSource, LogSink &Sink, DecisionMemory &Memory,
               Board &Shown, FleetOutlets Outlets);
   ~FleetThread();
--- a/Source/Daemon/include/balsamlatch/Daemon/OperatorFront.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/OperatorFront.h
@@ -25,7 +25,7 @@
 
 class OperatorFront {
 public:
-  OperatorFront(EventLoop &Control, Address At, Identity Self,
+  OperatorFront(EventLoop &Control, const Address &At, Identity Self,
                 const Clock &TimeSource, const DecisionMemory &Memory,
                 const Board &Shown, LogSink &Sink);
 
