--- a/Source/StandIn/Worker.cpp
+++ b/Source/StandIn/Worker.cpp
@@ -206,6 +206,8 @@
                             ? "full"
                             : nullptr;
   if (Refusal != nullptr) {
+    Env.Events.add("task_refused",
+                   {{"host", Self.Host.Text}, {"task", Id}, {"how", Refusal}});
     Exchange.Respond(taskAnswer(Id, RefusedOutcome, Refusal));
     return;
   }
--- a/Tests/Platform/PlatformTest.cpp
+++ b/Tests/Platform/PlatformTest.cpp
@@ -248,7 +248,8 @@
     BOOST_TEST((Got.End == End), Mode << ": " << Got.Body);
   }
   const std::string History = On.control("history");
-  BOOST_TEST(History.find("r-refuse/1") == std::string::npos);
+  BOOST_TEST(History.find(R"("r-refuse/1","how":"refused")") !=
+             std::string::npos);
   BOOST_TEST(History.find("r-die/1") == std::string::npos);
   BOOST_TEST(History.find("r-cut/1") != std::string::npos);
 }
