--- a/Source/Daemon/balsamlatchd.cpp
+++ b/Source/Daemon/balsamlatchd.cpp
@@ -19,6 +19,7 @@
 #include <sstream>
 #include <string>
 #include <thread>
+#include <variant>
 
 namespace {
 
