--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -165,7 +165,8 @@
       StoreCaller(StoreLoop.context(), http::ClientOptions()),
       WorkerCaller(Network.context(), workerClientOptions()),
       Backend(StoreCaller, Options.Values.Store),
-      Platform(StoreCaller, Options.Values.HostList), Workers(WorkerCaller), Counted(StoreLoop, Backend, Shown),
+      Platform(StoreCaller, Options.Values.HostList), Workers(WorkerCaller),
+      Counted(StoreLoop, Backend, Shown),
       ToNetwork(
           Network, BatchesToNetwork,
           [this](NetworkBatch Batch) { Callers.apply(std::move(Batch)); }),
--- /dev/null
+++ b/Source/Daemon/Embedded.cpp
@@ -0,0 +1,158 @@
+/// \file
+/// Starts the stand-ins in this process and seeds their store.
+
+#include "balsamlatch/Daemon/Embedded.h"
+
+#include "balsamlatch/Daemon/EventLoop.h"
+#include "balsamlatch/Http/Client.h"
+#include "balsamlatch/Platform/HttpStore.h"
+#include "balsamlatch/Rules/ChainJson.h"
+#include "balsamlatch/Rules/Landing.h"
+
+#include <fmt/format.h>
+#include <future>
+#include <utility>
+
+namespace balsamlatch::daemon {
+
+namespace {
+
+constexpr std::string_view RulesTemplate =
+    R"(owner first key {} # the first owner
+owner second key {} # the second owner
+pool quotes 10 hosts away 10% worker 16 cores 64 GiB # first
+pool plans 10 hosts away 10% worker 16 cores 64 GiB # first
+pool holds 10 hosts away 10% worker 16 cores 64 GiB # second
+pool dispatch 10 hosts away 10% worker 16 cores 64 GiB # second
+pool spare 10 hosts away 2 hosts worker 16 cores 64 GiB spare # both
+job quote in quotes prompt within 2s size 1 core 512 MiB runs 100ms idempotent spills # first
+job cut-plan in plans patient within 10min size 2 cores 1 GiB runs 2s idempotent # first
+job hold-stock in holds prompt within 5s size 1 core 512 MiB runs 200ms once # second
+job dispatch-truck in dispatch prompt within 5s size 1 core 512 MiB runs 200ms once # second
+away rack 2 hosts # both
+away data-centre 20% # both
+maintain every 8w stop 25% # second
+weigh moves 1 buffer 1 # both
+)";
+
+/// The peers' secret of a process that has no peers but those in its tests.
+constexpr std::string_view EmbeddedSecret =
+    "embedded entries share this text, which is no secret";
+constexpr std::string_view FirstNonce = "00000000000000000000000000000000";
+
+StoreReply callStore(Store &Backend, StoreRequest Request) {
+  std::promise<StoreReply> Answer;
+  Backend.submit(std::move(Request), [&Answer](StoreReply Reply) {
+    Answer.set_value(std::move(Reply));
+  });
+  return Answer.get_future().get();
+}
+
+absl::Status putNew(Store &Backend, std::string_view Key, std::string Value) {
+  return callStore(Backend, StoreSwap{std::string(Key), 0, std::move(Value)})
+      .Status;
+}
+
+} // namespace
+
+absl::StatusOr<OwnerPair> newOwners() {
+  absl::StatusOr<PrivateKey> First = PrivateKey::generate();
+  absl::StatusOr<PrivateKey> Second = PrivateKey::generate();
+  if (!First.ok()) {
+    return First.status();
+  }
+  if (!Second.ok()) {
+    return Second.status();
+  }
+  return OwnerPair{*std::move(First), *std::move(Second)};
+}
+
+std::string firstRules(const OwnerPair &Owners) {
+  return fmt::format(RulesTemplate, toHex(Owners.First.publicKey()),
+                     toHex(Owners.Second.publicKey()));
+}
+
+standin::Options firstPlatform() {
+  constexpr unsigned HostsPerPool = 10;
+  standin::Options Options;
+  Options.Hosts = standin::evenFleet(
+      {PoolName("quotes"), PoolName("plans"), PoolName("holds"),
+       PoolName("dispatch"), PoolName("spare")},
+      HostsPerPool,
+      {DataCentreName("dc1"), DataCentreName("dc2"), DataCentreName("dc3")});
+  return Options;
+}
+
+class EmbeddedPlatform::Impl {
+public:
+  Impl(const Clock &Time, const standin::Options &Options, OwnerPair Pair)
+      : Owners(std::move(Pair)), Platform(Loop.context(), Time, Options) {}
+
+  absl::Status start(const std::string &RulesText) {
+    if (absl::Status Bound = Platform.start(); !Bound.ok()) {
+      return Bound;
+    }
+    Loop.start();
+    const absl::StatusOr<ChainView> Chain =
+        startChain(RulesText, RulesVersion(1), std::string(FirstNonce),
+                   Owners.First, Owners.Second);
+    if (!Chain.ok()) {
+      return Chain.status();
+    }
+    EventLoop ClientLoop;
+    http::Client Caller(ClientLoop.context(), http::ClientOptions());
+    HttpStore Backend(Caller, Address{"127.0.0.1", Platform.port()});
+    ClientLoop.start();
+    absl::Status Put = putNew(Backend, BaseKey, printBase(Chain->Base));
+    if (Put.ok()) {
+      Put = putNew(Backend, HeadKey, printHead(Chain->Head));
+    }
+    ClientLoop.stop();
+    return Put;
+  }
+
+  void stop() {
+    if (!std::exchange(Stopped, true)) {
+      Loop.stop();
+      Platform.stop();
+    }
+  }
+
+  OwnerPair Owners;
+  EventLoop Loop;
+  standin::StandInPlatform Platform;
+  bool Stopped = false;
+};
+
+EmbeddedPlatform::EmbeddedPlatform(const Clock &TimeSource,
+                                   standin::Options Options, OwnerPair Owners)
+    : Self(std::make_unique<Impl>(TimeSource, Options, std::move(Owners))) {}
+
+EmbeddedPlatform::~EmbeddedPlatform() { stop(); }
+
+absl::Status EmbeddedPlatform::start(const std::string &RulesText) {
+  return Self->start(RulesText);
+}
+
+void EmbeddedPlatform::stop() { Self->stop(); }
+
+std::uint16_t EmbeddedPlatform::port() const { return Self->Platform.port(); }
+
+const OwnerPair &EmbeddedPlatform::owners() const { return Self->Owners; }
+
+DaemonOptions EmbeddedPlatform::entryOptions(const std::string &Entry) const {
+  DaemonOptions Options;
+  Options.Embedded = true;
+  Options.PeerSecret = std::string(EmbeddedSecret);
+  Settings &Values = Options.Values;
+  Values.Entry = EntryName(Entry);
+  Values.DataCentre = DataCentreName("dc1");
+  Values.Store = Address{"127.0.0.1", port()};
+  Values.HostList = Values.Store;
+  Values.GenesisOwners = {
+      {OwnerName("first"), toHex(owners().First.publicKey())},
+      {OwnerName("second"), toHex(owners().Second.publicKey())}};
+  return Options;
+}
+
+} // namespace balsamlatch::daemon
--- a/Source/Daemon/balsamlatchd.cpp
+++ b/Source/Daemon/balsamlatchd.cpp
@@ -4,6 +4,7 @@
 
 #include "balsamlatch/Base/Log.h"
 #include "balsamlatch/Daemon/Daemon.h"
+#include "balsamlatch/Daemon/Embedded.h"
 #include "balsamlatch/Daemon/Settings.h"
 #include "balsamlatch/Wire/PeerSeal.h"
 
@@ -30,6 +31,7 @@
 struct Arguments {
   std::string ConfigFile;
   bool CheckOnly = false;
+  bool Embedded = false;
 };
 
 absl::StatusOr<std::string> readFile(const std::string &Path) {
@@ -46,20 +48,29 @@
   cxxopts::Options Options("balsamlatchd",
                            "Serves callers and keeps the fleet in order.");
   Options.add_options()("config", "settings file (INI)",
-                        cxxopts::value<std::string>(), "FILE")(
-      "check", "check the settings and exit")("help", "print this help");
+                        cxxopts::value<std::string>(),
+                        "FILE")("check", "check the settings and exit")(
+      "embedded",
+      "carry stand-ins of the platform in this process, for a first try")(
+      "help", "print this help");
   try {
     const cxxopts::ParseResult Parsed = Options.parse(Count, Values);
     if (Parsed.count("help") > 0) {
       fmt::print("{}", Options.help());
       return ExitDone;
     }
+    Arguments Given;
+    Given.Embedded = Parsed.count("embedded") > 0;
+    Given.CheckOnly = Parsed.count("check") > 0;
+    if (Given.Embedded) {
+      return Given;
+    }
     if (Parsed.count("config") == 0) {
       fmt::print(stderr, "balsamlatchd: --config FILE is missing\n");
       return ExitUsage;
     }
-    return Arguments{Parsed["config"].as<std::string>(),
-                     Parsed.count("check") > 0};
+    Given.ConfigFile = Parsed["config"].as<std::string>();
+    return Given;
   } catch (const cxxopts::exceptions::exception &Fault) {
     fmt::print(stderr, "balsamlatchd: {}\n", Fault.what());
     return ExitUsage;
@@ -118,6 +129,32 @@
   return Drained ? ExitDone : ExitFailed;
 }
 
+/// Serves with the stand-ins in this process, on fixed ports of loopback.
+int serveEmbedded() {
+  constexpr std::uint16_t CallersPort = 8080;
+  constexpr std::uint16_t PeersPort = 8081;
+  constexpr std::uint16_t OperatorsPort = 8082;
+  absl::StatusOr<daemon::OwnerPair> Owners = daemon::newOwners();
+  if (!Owners.ok()) {
+    fmt::print(stderr, "balsamlatchd: {}\n",
+               std::string(Owners.status().message()));
+    return ExitFailed;
+  }
+  const std::string Rules = daemon::firstRules(*Owners);
+  const SystemClock Time;
+  daemon::EmbeddedPlatform Platform(Time, daemon::firstPlatform(),
+                                    *std::move(Owners));
+  if (const absl::Status Started = Platform.start(Rules); !Started.ok()) {
+    fmt::print(stderr, "balsamlatchd: {}\n", std::string(Started.message()));
+    return ExitFailed;
+  }
+  daemon::DaemonOptions Options = Platform.entryOptions("embedded");
+  Options.Values.Callers.Port = CallersPort;
+  Options.Values.Peers.Port = PeersPort;
+  Options.Values.Operators.Port = OperatorsPort;
+  return serve(std::move(Options));
+}
+
 } // namespace
 
 int main(int Count, char **Values) {
@@ -127,6 +164,9 @@
     return *Code;
   }
   const auto &Wanted = std::get<Arguments>(Given);
+  if (Wanted.Embedded) {
+    return serveEmbedded();
+  }
   auto Read = readSettings(Wanted);
   if (const auto *Code = std::get_if<ExitCode>(&Read)) {
     return *Code;
--- a/Source/Daemon/include/balsamlatch/Daemon/FleetThread.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/FleetThread.h
@@ -42,9 +42,10 @@
 
 class FleetThread {
 public:
-  FleetThread(const fleet::ControllerOptions &Options, AdoptionOptions RulesOptions,
-              const Clock &TimeSource, LogSink &Sink, DecisionMemory &Memory,
-              Board &Shown, FleetOutlets Outlets);
+  FleetThread(const fleet::ControllerOptions &Options,
+              AdoptionOptions RulesOptions, const Clock &TimeSource,
+              LogSink &Sink, DecisionMemory &Memory, Board &Shown,
+              FleetOutlets Outlets);
   ~FleetThread();
 
   void start();
