tool: Add the commands on rules, keys and the chain of changes

Cause: operators check and format rules, and the two co-owners propose, sign, reject, withdraw, look back and roll back.

--- a/Source/Rules/Chain.cpp
+++ b/Source/Rules/Chain.cpp
@@ -131,6 +131,13 @@
   return Window.empty() ? sha256(Text) : Window.back().Step.TextHash;
 }
 
+std::optional<Digest> ChainState::textHashAt(RulesVersion At) const {
+  if (At > Version || Version.Value - At.Value >= Window.size()) {
+    return std::nullopt;
+  }
+  return Window[Window.size() - 1 - (Version.Value - At.Value)].Step.TextHash;
+}
+
 bool ChainState::contains(const Digest &Change) const {
   return std::any_of(Window.begin(), Window.end(),
                      [&](const Past &P) { return P.Step.Change == Change; });
--- a/Source/Rules/Landing.cpp
+++ b/Source/Rules/Landing.cpp
@@ -148,31 +148,36 @@
   return Sizes.ok() ? absl::StatusOr<ChainView>(std::move(View)) : Sizes;
 }
 
-absl::StatusOr<Change> makeChange(const ChainView &View,
-                                  std::string_view NewText, ProposalNote Note) {
+absl::StatusOr<Change> makeChange(const ChainView &View, const EditedText &Text,
+                                  ProposalNote Note) {
+  const Digest *BaseChain = View.Latest.chainAt(Text.Base);
+  if (BaseChain == nullptr) {
+    return absl::FailedPreconditionError(
+        fmt::format("version {} is no base for a change", Text.Base.Value));
+  }
   Change Subject;
-  Subject.Base = View.Latest.version();
-  Subject.BaseChain = View.Latest.chain();
+  Subject.Base = Text.Base;
+  Subject.BaseChain = *BaseChain;
   Subject.Proposer = std::move(Note.Proposer);
   Subject.Reason = std::move(Note.Reason);
   Subject.ProposedAt = Note.ProposedAt;
   Subject.Nonce = std::move(Note.Nonce);
-  Subject.Edits = diffTexts(View.Latest.text(), NewText);
+  Subject.Edits = diffTexts(Text.Old, Text.New);
   if (Subject.Edits.empty()) {
-    return absl::InvalidArgumentError("the text is the one in force");
+    return absl::InvalidArgumentError("the texts don't differ");
   }
-  const absl::Status Checked = checkText(NewText);
-  if (!Checked.ok()) {
-    return Checked;
-  }
-  const absl::StatusOr<OwnerKeys> After = ownersOf(NewText);
+  const EditResult Result = applyEdits(View.Latest.text(), Subject.Edits);
+  const absl::StatusOr<OwnerKeys> After =
+      Result.Conflicts.empty() ? ownersOf(Result.Text) : View.Latest.owners();
   if (!After.ok()) {
     return After.status();
   }
   if (*After != View.Latest.owners()) {
     Subject.NewOwners.assign(After->begin(), After->end());
   }
-  return Subject;
+  const absl::Status Fits = View.Latest.ownersAfter(Subject).status();
+  const absl::Status Checked = Fits.ok() ? checkText(Result.Text) : Fits;
+  return Checked.ok() ? absl::StatusOr<Change>(std::move(Subject)) : Checked;
 }
 
 absl::StatusOr<std::vector<PublicKey>>
--- a/Source/Rules/include/balsamlatch/Rules/Chain.h
+++ b/Source/Rules/include/balsamlatch/Rules/Chain.h
@@ -12,6 +12,7 @@
 #include <absl/status/statusor.h>
 #include <array>
 #include <deque>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -129,6 +130,9 @@
   const Digest &chain() const { return Chain; }
   const std::string &text() const { return Text; }
   Digest textHash() const;
+  /// Hash of the text of one of the last MaxBaseAge versions; empty if it isn't
+  /// known any more.
+  std::optional<Digest> textHashAt(RulesVersion At) const;
   const OwnerKeys &owners() const { return Owners; }
   /// Whether the change made one of the last MaxBaseAge versions.
   bool contains(const Digest &Change) const;
--- a/Source/Rules/include/balsamlatch/Rules/Landing.h
+++ b/Source/Rules/include/balsamlatch/Rules/Landing.h
@@ -45,10 +45,18 @@
                                      std::string Nonce, const PrivateKey &A,
                                      const PrivateKey &B);
 
-/// A change of the view's latest text, ready to be signed. InvalidArgument if
-/// the texts don't differ.
-absl::StatusOr<Change> makeChange(const ChainView &View,
-                                  std::string_view NewText, ProposalNote Note);
+/// The text that an owner edited, and its version.
+struct EditedText {
+  RulesVersion Base;
+  std::string Old;
+  std::string New;
+};
+
+/// A change that makes the same edits to the view's latest text, ready to be
+/// signed. InvalidArgument if the texts don't differ or the result has
+/// findings; Aborted and FailedPrecondition as for ChainState::next.
+absl::StatusOr<Change> makeChange(const ChainView &View, const EditedText &Text,
+                                  ProposalNote Note);
 
 /// Keys that must sign the change and haven't. FailedPrecondition or Aborted
 /// if it can't land any more.
--- /dev/null
+++ b/Source/Tool/HistoryCommands.h
@@ -0,0 +1,17 @@
+/// \file
+/// Commands that show changes: diff, log and show.
+
+#ifndef BALSAMLATCH_TOOL_HISTORYCOMMANDS_H
+#define BALSAMLATCH_TOOL_HISTORYCOMMANDS_H
+
+#include "Command.h"
+
+namespace balsamlatch {
+
+Command diffCommand();
+Command logCommand();
+Command showCommand();
+
+} // namespace balsamlatch
+
+#endif // BALSAMLATCH_TOOL_HISTORYCOMMANDS_H
--- /dev/null
+++ b/Source/Tool/HttpStoreCaller.h
@@ -0,0 +1,21 @@
+/// \file
+/// Opens the platform's store over HTTP for a command.
+
+#ifndef BALSAMLATCH_TOOL_HTTPSTORECALLER_H
+#define BALSAMLATCH_TOOL_HTTPSTORECALLER_H
+
+#include "StoreCaller.h"
+
+#include <absl/status/statusor.h>
+#include <memory>
+#include <string>
+
+namespace balsamlatch {
+
+/// \p Where is `IP:PORT`. InvalidArgument if it isn't.
+absl::StatusOr<std::unique_ptr<StoreCaller>>
+openHttpStore(const std::string &Where);
+
+} // namespace balsamlatch
+
+#endif // BALSAMLATCH_TOOL_HTTPSTORECALLER_H
--- /dev/null
+++ b/Source/Tool/RulesFileCommands.cpp
@@ -0,0 +1,94 @@
+/// \file
+/// The commands `check` and `fmt`.
+
+#include "RulesFileCommands.h"
+#include "StatusText.h"
+
+#include "ToolFiles.h"
+
+#include "balsamlatch/Rules/Parser.h"
+
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
+namespace balsamlatch {
+
+namespace {
+
+/// The one file named on the command line, or nothing after a message.
+absl::StatusOr<std::string> onlyFile(const cxxopts::ParseResult &Options) {
+  const std::vector<std::string> Words = argumentsOf(Options);
+  if (Words.size() != 1) {
+    return usageError("name one rules file");
+  }
+  return Words.front();
+}
+
+ExitCode fail(const ToolIo &Io, std::string_view Name,
+              const absl::Status &Status) {
+  Io.Err << fmt::format("balsamlatch {}: {}\n", Name, messageOf(Status));
+  return isUsageError(Status) ? ExitCode::Usage : ExitCode::Refused;
+}
+
+void addCheckOptions(cxxopts::Options &Options) {
+  Options.add_options()("json", "Print JSON.");
+}
+
+ExitCode runCheck(const cxxopts::ParseResult &Options, const ToolIo &Io) {
+  const absl::StatusOr<std::string> Path = onlyFile(Options);
+  const absl::StatusOr<std::string> Text =
+      Path.ok() ? readFile(*Path) : Path.status();
+  if (!Text.ok()) {
+    return fail(Io, "check", Text.status());
+  }
+  const ParsedRules Parsed = parseRules(*Path, *Text);
+  const bool Bad = Parsed.Problems.hasErrors();
+  if (Options.count("json") != 0) {
+    Io.Out << boost::json::serialize(boost::json::object{
+                  {"good", !Bad}, {"findings", findingsJson(Parsed.Problems)}})
+           << '\n';
+  } else {
+    Io.Err << Parsed.Problems.render();
+  }
+  return Bad ? ExitCode::Refused : ExitCode::Done;
+}
+
+void addFormatOptions(cxxopts::Options &Options) {
+  Options.add_options()("check",
+                        "Only tell by the exit code whether the file is in "
+                        "its usual form.")("write", "Change the file.");
+}
+
+ExitCode runFormat(const cxxopts::ParseResult &Options, const ToolIo &Io) {
+  const absl::StatusOr<std::string> Path = onlyFile(Options);
+  const absl::StatusOr<std::string> Text =
+      Path.ok() ? readFile(*Path) : Path.status();
+  if (!Text.ok()) {
+    return fail(Io, "fmt", Text.status());
+  }
+  const std::string Tidy = formatRules(*Text);
+  if (Options.count("check") != 0) {
+    return Tidy == *Text ? ExitCode::Done : ExitCode::Refused;
+  }
+  if (Options.count("write") == 0) {
+    Io.Out << Tidy;
+    return ExitCode::Done;
+  }
+  const absl::Status Written =
+      Tidy == *Text ? absl::OkStatus() : writeFile(*Path, Tidy);
+  return Written.ok() ? ExitCode::Done : fail(Io, "fmt", Written);
+}
+
+} // namespace
+
+Command checkCommand() {
+  return {"check", "Checks a rules file and shows all findings.", "FILE",
+          addCheckOptions, runCheck};
+}
+
+Command formatCommand() {
+  return {"fmt", "Prints a rules file in its usual form.", "FILE",
+          addFormatOptions, runFormat};
+}
+
+} // namespace balsamlatch
--- /dev/null
+++ b/Source/Tool/RulesFileCommands.h
@@ -0,0 +1,16 @@
+/// \file
+/// Commands on a rules file: check and fmt.
+
+#ifndef BALSAMLATCH_TOOL_RULESFILECOMMANDS_H
+#define BALSAMLATCH_TOOL_RULESFILECOMMANDS_H
+
+#include "Command.h"
+
+namespace balsamlatch {
+
+Command checkCommand();
+Command formatCommand();
+
+} // namespace balsamlatch
+
+#endif // BALSAMLATCH_TOOL_RULESFILECOMMANDS_H
--- /dev/null
+++ b/Source/Tool/SignCommands.h
@@ -0,0 +1,17 @@
+/// \file
+/// Commands on a proposal: sign, reject and withdraw.
+
+#ifndef BALSAMLATCH_TOOL_SIGNCOMMANDS_H
+#define BALSAMLATCH_TOOL_SIGNCOMMANDS_H
+
+#include "Command.h"
+
+namespace balsamlatch {
+
+Command signCommand();
+Command rejectCommand();
+Command withdrawCommand();
+
+} // namespace balsamlatch
+
+#endif // BALSAMLATCH_TOOL_SIGNCOMMANDS_H
--- a/Tests/Rules/ChainFixture.h
+++ b/Tests/Rules/ChainFixture.h
@@ -60,7 +60,9 @@
              std::initializer_list<const PrivateKey *> Signers,
              const std::string &Nonce = "n") {
   SignedChange Subject{
-      *makeChange(View, NewText, {OwnerName("anna"), "test", 0, Nonce}), {}};
+      *makeChange(View, {View.Latest.version(), View.Latest.text(), NewText},
+                  {OwnerName("anna"), "test", 0, Nonce}),
+      {}};
   for (const PrivateKey *Key : Signers) {
     Subject.Approvals.push_back(approve(Subject.Content, *Key));
   }
