--- a/Source/Placement/Engine.cpp
+++ b/Source/Placement/Engine.cpp
@@ -9,12 +9,21 @@
 
 namespace balsamlatch::placement {
 
+namespace {
+
+constexpr Duration LongestGap = std::chrono::seconds(1);
+/// Within this time the events that waited bring the view up to date.
+constexpr Duration HoldAfterPause = std::chrono::seconds(1);
+
+} // namespace
+
 Engine::Impl::Impl(EngineOptions Given)
     : Options(std::move(Given)), Rng(Options.Seed) {
   Live.push_back(Options.Self);
 }
 
 std::vector<Action> Engine::Impl::handle(const Event &Happened, Instant At) {
+  noticePause(At);
   Now = At;
   expire();
   std::visit([this](const auto &E) { on(E); }, Happened);
@@ -22,6 +31,15 @@
   return std::exchange(Out, {});
 }
 
+/// Ticks come every TickPeriod, so a long gap is a pause of this process.
+void Engine::Impl::noticePause(Instant At) {
+  if (Now != Instant{} && At - Now > LongestGap) {
+    HoldUntil = At + HoldAfterPause;
+    log(Options.Self.Text, Reason::Paused, 0,
+        {{"paused_us", (At - Now).count()}});
+  }
+}
+
 PoolState &Engine::Impl::pool(const PoolName &Name) {
   return Pools.try_emplace(Name, Name).first->second;
 }
--- a/Source/Placement/EngineAttempts.cpp
+++ b/Source/Placement/EngineAttempts.cpp
@@ -12,6 +12,9 @@
 /// A run is long when it takes this many times the high quantile.
 constexpr int HedgeFactor = 2;
 constexpr Duration ShortestHedgeWait = std::chrono::milliseconds(20);
+/// A decision is acted on within this time or not at all, since the worker
+/// may have begun to leave.
+constexpr Duration DispatchWithin = std::chrono::seconds(1);
 /// A worker's probe waits this long for an idempotent request.
 constexpr Duration ProbeWithAnyAfter = std::chrono::seconds(10);
 
@@ -34,7 +37,7 @@
 }
 
 void Engine::Impl::pump(const PoolName &Name, PoolState &P) {
-  bool Progress = true;
+  bool Progress = Now >= HoldUntil;
   while (Progress && !P.Queue.empty()) {
     Progress =
         pumpProbe(Name, P) || pumpGranted(Name, P) || pumpChosen(Name, P);
@@ -195,9 +198,9 @@
     setTimer(R, Now + std::max(ShortestHedgeWait,
                                HedgeFactor * Sizes.runTime(R.Rule)));
   }
-  Out.push_back(StartAttempt{Attempt, R.Asked.Id, R.Asked.Job, View.Host,
-                             View.At, R.Deadline - Now,
-                             std::min(R.Deadline, R.DispatchBefore)});
+  Out.push_back(StartAttempt{
+      Attempt, R.Asked.Id, R.Asked.Job, View.Host, View.At, R.Deadline - Now,
+      std::min({R.Deadline, R.DispatchBefore, Now + DispatchWithin})});
   const Reason Why = R.Hedging     ? Reason::Hedged
                      : R.Tries > 1 ? Reason::Retried
                      : OnSpare     ? Reason::PlacedOnSpare
--- a/Source/Placement/EngineImpl.h
+++ b/Source/Placement/EngineImpl.h
@@ -29,6 +29,8 @@
 
 /// Part of a pool's slots that patient work may hold, in percent.
 inline constexpr std::uint32_t PatientPercent = 75;
+/// The least such part, in a pool whose prompt bursts can't all spill.
+inline constexpr std::uint32_t PatientFloorPercent = 25;
 
 enum class Phase { Claiming, Waiting, BackingOff, Running };
 
@@ -107,6 +109,7 @@
   void on(const EntriesChanged &E);
   void on(const Tick &E);
   void on(const StopRequested &E);
+  void noticePause(Instant At);
   void expire();
   PoolState &pool(const PoolName &Name);
   void applyQuotas();
@@ -164,10 +167,14 @@
   void take(const EntryName &From, const SlotGrant &Grant);
   static PoolName sparePoolOf(const RuleSet &Rules);
   std::uint32_t spillingPools() const;
+  bool allPromptSpills(const PoolName &Name) const;
   std::size_t liveEntries() const;
 
   Random Rng;
   Instant Now{};
+  // After a pause of the process, when the view of workers may be old: no
+  // work is placed before this instant.
+  Instant HoldUntil{};
   bool Stopping = false;
   std::uint64_t LastKey = 0;
   std::uint64_t LastAttempt = 0;
--- a/Source/Placement/EngineSlots.cpp
+++ b/Source/Placement/EngineSlots.cpp
@@ -26,6 +26,16 @@
   return static_cast<std::uint32_t>(Spilling.size());
 }
 
+/// Whether the spare pool can take every burst of the pool's prompt jobs.
+bool Engine::Impl::allPromptSpills(const PoolName &Name) const {
+  return std::all_of(Rules->Jobs.begin(), Rules->Jobs.end(),
+                     [&](const auto &Item) {
+                       const JobRule &Rule = Item.second;
+                       return Rule.Pool != Name ||
+                              Rule.Class == JobClass::Patient || Rule.MaySpill;
+                     });
+}
+
 /// Finds the scheduler of each pool, and takes up or lays down this entry's
 /// own part.
 void Engine::Impl::electSchedulers() {
@@ -57,6 +67,8 @@
     }
     SchedulerLimits Limits;
     Limits.PatientPercent = PatientPercent;
+    Limits.PatientFloorPercent =
+        allPromptSpills(Name) ? PatientPercent : PatientFloorPercent;
     Limits.SpillingPools = Name == SparePool ? spillingPools() : 0;
     Scheduler.setLimits(Limits);
     Scheduler.setWorkers(Open);
--- a/Source/Placement/Reason.cpp
+++ b/Source/Placement/Reason.cpp
@@ -57,6 +57,8 @@
     return "worker-readmitted";
   case Reason::JobReadmitted:
     return "job-readmitted";
+  case Reason::Paused:
+    return "paused";
   }
   return "unknown-reason";
 }
--- a/Source/Placement/SlotScheduler.cpp
+++ b/Source/Placement/SlotScheduler.cpp
@@ -4,6 +4,7 @@
 #include "balsamlatch/Placement/SlotScheduler.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace balsamlatch::placement {
 
@@ -15,6 +16,7 @@
 constexpr Duration GrantVoidAfter = std::chrono::milliseconds(300);
 /// What an entry held is forgotten when it was silent for this long.
 constexpr Duration EntryForgottenAfter = std::chrono::seconds(3);
+constexpr Duration PeakHalfLife = std::chrono::minutes(2);
 constexpr std::uint32_t PromptGrantsPerPatient = 15;
 constexpr std::uint32_t Percent = 100;
 
@@ -165,6 +167,7 @@
   count(A);
   HeldFor[Who.second] += A.PromptHeld + A.PatientHeld;
   PatientHeld += A.PatientHeld;
+  notePeak(Now);
   distribute(Now, Out);
   const bool Heard = std::any_of(Out.begin(), Out.end(), [&](const auto &Sent) {
     return Sent.first == From && Sent.second.For == Who.second;
@@ -209,7 +212,24 @@
 }
 
 bool SlotScheduler::patientAllowed() const {
-  return PatientHeld * Percent < TotalSlots * Limits.PatientPercent;
+  const double Left = double(TotalSlots) - PromptPeak;
+  const double Floor =
+      double(TotalSlots * Limits.PatientFloorPercent) / Percent;
+  const double Most = double(TotalSlots * Limits.PatientPercent) / Percent;
+  return PatientHeld < std::clamp(Left, std::min(Floor, Most), Most);
+}
+
+/// The peak halves over PeakHalfLife unless demand reaches it again.
+void SlotScheduler::notePeak(Instant Now) {
+  double Demand = 0;
+  for (const auto &[Who, A] : Askers) {
+    Demand += Who.second == Pool ? A.PromptHeld + A.Prompt : 0;
+  }
+  const double Ages =
+      std::chrono::duration<double>(Now - PeakAt) / PeakHalfLife;
+  PeakAt = Now;
+  PromptPeak = std::max(std::min(Demand, double(TotalSlots)),
+                        PromptPeak * std::exp2(-Ages));
 }
 
 /// A pool that spills leaves the reserve of each other one alone.
--- a/Source/Placement/include/balsamlatch/Placement/Events.h
+++ b/Source/Placement/include/balsamlatch/Placement/Events.h
@@ -60,7 +60,9 @@
   LateAnswerDropped,
   WorkerEjected,
   WorkerReadmitted,
-  JobReadmitted
+  JobReadmitted,
+  /// The process stood still, so that nothing is placed for a moment.
+  Paused
 };
 
 /// The stable code, for example "deadline-passed".
--- a/Source/Placement/include/balsamlatch/Placement/SlotScheduler.h
+++ b/Source/Placement/include/balsamlatch/Placement/SlotScheduler.h
@@ -31,9 +31,10 @@
 };
 
 struct SchedulerLimits {
-  /// Part of the pool's slots that patient work may hold, in percent, so that
-  /// a prompt burst finds slots at once.
+  /// Part of the pool's slots that patient work may hold, in percent. Between
+  /// the two it is what the recent peak of prompt work leaves.
   std::uint32_t PatientPercent = 75;
+  std::uint32_t PatientFloorPercent = 75;
   /// Part of the spare pool's slots kept for each other pool that may spill.
   std::uint32_t ReservePercent = 5;
   /// Pools whose work may be placed here, this one not counted.
@@ -104,6 +105,7 @@
   std::map<AskerId, Asker>::iterator nextPrompt();
   std::map<AskerId, Asker>::iterator nextPatient();
   bool patientAllowed() const;
+  void notePeak(Instant Now);
   bool spillAllowed(const PoolName &For) const;
   const HostName *pick(const Asker &A) const;
   void distribute(Instant Now, Grants &Out);
@@ -119,6 +121,9 @@
   // Slots held for each pool.
   std::map<PoolName, std::uint32_t> HeldFor;
   std::uint32_t PatientHeld = 0;
+  // Recent peak of the slots that the pool's own prompt work held or wanted.
+  double PromptPeak = 0;
+  Instant PeakAt{};
   std::uint32_t TotalSlots = 0;
   // Slots of known workers that are held.
   std::uint32_t Held = 0;
