--- a/Source/Daemon/balsamlatchd.cpp
+++ b/Source/Daemon/balsamlatchd.cpp
@@ -16,8 +16,8 @@
 #include <cxxopts.hpp>
 #include <fmt/format.h>
 #include <fstream>
+#include <iterator>
 #include <optional>
-#include <sstream>
 #include <string>
 #include <thread>
 #include <variant>
@@ -36,11 +36,10 @@
 
 absl::StatusOr<std::string> readFile(const std::string &Path) {
   std::ifstream File(Path, std::ios::binary);
-  std::ostringstream Text;
-  if (!File || !(Text << File.rdbuf())) {
+  if (!File) {
     return absl::NotFoundError(fmt::format("{}: can't be read", Path));
   }
-  return Text.str();
+  return std::string(std::istreambuf_iterator<char>(File), {});
 }
 
 /// The arguments, or the code to exit with.
