--- a/Source/Fleet/Controller.cpp
+++ b/Source/Fleet/Controller.cpp
@@ -8,6 +8,7 @@
 #include "HostSteps.h"
 #include "LeaseHolder.h"
 #include "LedgerWriter.h"
+#include "MovePlanner.h"
 #include "OperatorOrders.h"
 #include "Recovery.h"
 #include "WavePlanner.h"
@@ -68,7 +69,11 @@
   void on(const WorkerSeen &Seen) { Observed.take(Seen, Now); }
   void on(const EntriesSeen &Seen) { Observed.take(Seen, Now); }
   void on(const RulesSeen &Seen) { Rules = Seen.Rules; }
-  void on(const DemandSeen &) {}
+  void on(const DemandSeen &Seen) {
+    Demand.take(Seen, Now);
+    Needed = Demand.warm(Now) ? Demand.hostsNeeded(Observed.slotsPerHost())
+                              : HostsNeeded();
+  }
   void on(const OperatorAsked &Asked) {
     Operator.take(Asked, Now);
     decide();
@@ -100,7 +105,9 @@
   OrderBook Orders;
   Facts Observed;
   RuleSetPtr Rules;
+  DemandTracker Demand;
   HostsNeeded Needed;
+  MovePlanner Moves;
 
   Ledger Known;
   // Invariant: never falls; 0 with Heard set: the store has no ledger.
@@ -272,6 +279,7 @@
   logWait({}, recordLosses(Next, Observed, Now));
   replaceLost(Next, Observed, *Rules, Needed, Now, Wall, Self);
   planWave(Next, *Rules, Needed, Wall, Self);
+  Moves.plan(Next, {*Rules, Demand, Observed.slotsPerHost(), Now, Wall, Self});
 }
 
 void Controller::Impl::write(Draft Next) {
--- a/Source/Fleet/Facts.cpp
+++ b/Source/Fleet/Facts.cpp
@@ -22,6 +22,7 @@
   Known.BootCount = Seen.Report.BootCount;
   Known.Report = Seen.Report;
   Known.ReportAt = Now;
+  SlotsPerHost = std::max(Seen.Report.SlotsTotal, 1u);
   Known.SilentSince.reset();
   Known.SilentReports = 0;
 }
--- a/Source/Fleet/Facts.h
+++ b/Source/Fleet/Facts.h
@@ -45,6 +45,8 @@
   void follow(const Ledger &Value, Instant Now);
 
   HostFacts &host(const HostName &Host) { return Hosts[Host]; }
+  /// Slots of a worker by the last report; the platform's usual number before.
+  std::uint32_t slotsPerHost() const { return SlotsPerHost; }
   const HostListing *listing() const { return Listing ? &*Listing : nullptr; }
 
   /// Whether the host's last good report is fresh and came after \p Since.
@@ -63,6 +65,9 @@
   std::vector<EntryName> entriesBehind(std::uint64_t Version) const;
 
 private:
+  static constexpr std::uint32_t UsualSlots = 8;
+
+  std::uint32_t SlotsPerHost = UsualSlots;
   std::map<HostName, HostFacts> Hosts;
   std::optional<HostListing> Listing;
   std::vector<EntriesSeen::View> Entries;
