--- a/Tests/Fleet/World.cpp
+++ b/Tests/Fleet/World.cpp
@@ -79,9 +79,9 @@
   ++One.Generation;
   One.Backlog.clear();
   One.PausedUntil = Instant{};
-  One.Machine = std::make_unique<Controller>(
-      ControllerOptions{EntryName(fmt::format("e{}", Index)), "r",
-                        Settings.Seed * 31 + Index + 1000 * One.Generation});
+  One.Machine = std::make_unique<Controller>(ControllerOptions{
+      EntryName(fmt::format("e{}", Index)), "r",
+      Settings.Seed * 31 + Index + std::uint64_t(1000) * One.Generation});
   deliver(Index, RulesSeen{Rules});
 }
 
@@ -89,8 +89,8 @@
   std::vector<HostName> Stray;
   for (const auto &[Name, Target] : Hosts) {
     const HostRecord &Record = ledger().Hosts.at(Name);
-    if (Target.Draining == Record.accepting() ||
-        Target.Home.Pool != Record.Pool) {
+    if (Record.accepting() &&
+        (Target.Draining || Target.Home.Pool != Record.Pool)) {
       Stray.push_back(Name);
     }
   }
--- a/Tests/Fleet/World.h
+++ b/Tests/Fleet/World.h
@@ -101,7 +101,8 @@
     std::uint64_t TasksStarted = 0;
     std::uint64_t Swaps = 0;
   };
-  /// Workers that refuse tasks or are in another pool than the ledger says.
+  /// Workers that the ledger lets accept tasks, but that refuse them or are
+  /// in another pool.
   std::vector<HostName> strayWorkers() const;
   const Counts &counts() const { return Count; }
 
