fleet: Test replaced hosts, forgetful workers, windows, demand and moves

Cause: the failures that FleetFaults found had no test of their own. Change: one test each, named with its seeds, and tests of the planners' waits.

--- a/Tests/Fleet/World.h
+++ b/Tests/Fleet/World.h
@@ -58,6 +58,8 @@
   void crash(const HostName &Host, Duration Length);
   void crashRack(const RackName &Rack, Duration Length);
   void crashCentre(const DataCentreName &Centre, Duration Length);
+  /// The worker accepts tasks again, though nobody has returned it.
+  void forgetDrain(const HostName &Name) { Hosts.at(Name).Draining = false; }
   /// The next reboot of the host takes this long.
   void slowReboot(const HostName &Host, Duration Length);
   /// The entry learns no ledger; its heartbeats go on.
--- a/Tests/Fleet/WorldTest.cpp
+++ b/Tests/Fleet/WorldTest.cpp
@@ -184,3 +184,83 @@
       4h));
   checkClean(Around);
 }
+
+// Found by FleetFaults, seeds 9, 35 and 69.
+BOOST_AUTO_TEST_CASE(AReplacedHostComesBackWhereTheLedgerHasIt) {
+  Started Test;
+  Test.Around.crash(First, 30min);
+  BOOST_TEST(Test.reaches(First, HostState::Failed, 60s));
+  Test.Around.run(29min);
+  BOOST_TEST(Test.reaches(First, HostState::InService, 10min));
+  BOOST_TEST((Test.Around.ledger().Hosts.at(First).Pool == PoolName("p4")));
+  BOOST_TEST(Test.Around.strayWorkers().empty());
+  checkClean(Test.Around);
+}
+
+// Found by FleetFaults, seeds 143 and 151.
+BOOST_AUTO_TEST_CASE(AWorkerThatForgotItsDrainIsNotRebootedWhileItTakesTasks) {
+  Started Test;
+  Test.Around.deafenEntry(0, 30s);
+  BOOST_TEST(Test.ask({0, OperatorVerb::Drain, First, {}, {}}).ok());
+  Test.Around.run(10s);
+  BOOST_TEST((Test.state(First) == HostState::Leaving));
+  Test.Around.forgetDrain(First);
+  BOOST_TEST(Test.reaches(First, HostState::InService, 180s));
+  BOOST_TEST(Test.Around.counts().Reboots == 1u);
+  BOOST_TEST(Test.Around.counts().RebootsUndrained == 0u);
+  BOOST_TEST(Test.Around.strayWorkers().empty());
+  checkClean(Test.Around);
+}
+
+BOOST_AUTO_TEST_CASE(NoHostIsLostWhenTheControllerIsCutOff) {
+  Started Test;
+  for (const HostName &Host : Test.Around.hostNames()) {
+    Test.Around.muteWorker(Host, 5min);
+  }
+  Test.Around.run(4min);
+  BOOST_TEST(Test.Around.logged("reports-missing"));
+  BOOST_TEST(!Test.Around.logged("host-lost"));
+}
+
+BOOST_AUTO_TEST_CASE(AWaveWaitsForItsWindowAndForDemand) {
+  WorldOptions Options;
+  Options.MaintainedAgo = 1000h;
+  RuleSet Rules = worldRules(Options, 1000h);
+  // The world begins at 01:00.
+  Rules.Maintenance.Windows = {{1h + 10min, 2h}};
+  World Around(Options, Rules);
+  DemandSeen Busy;
+  Busy.Pools.push_back({PoolName("p0"), 70, 30});
+  Around.demand(Busy);
+  Around.run(9min);
+  BOOST_TEST(Around.counts().Reboots == 0u);
+  Around.run(30min);
+  BOOST_TEST(Around.counts().Reboots >= 30u);
+  for (const auto &[Host, Record] : Around.ledger().Hosts) {
+    // The busy pool keeps its hosts.
+    BOOST_TEST((Record.Pool != PoolName("p0") || Record.accepting()));
+  }
+  checkClean(Around);
+}
+
+BOOST_AUTO_TEST_CASE(LastingDemandMovesASpareHost) {
+  WorldOptions Options;
+  RuleSet Rules = worldRules(Options, 1000h);
+  for (auto &[Pool, Rule] : Rules.Pools) {
+    Rule.Away = {AwayBudget::Kind::Hosts, 1};
+  }
+  World Around(Options, Rules);
+  DemandSeen Busy;
+  Busy.Pools.push_back({PoolName("p0"), 70, 0});
+  Around.demand(Busy);
+  const auto Members = [&](const char *Pool) {
+    return AwayCounts(Around.ledger()).pool(PoolName(Pool)).Members;
+  };
+  BOOST_TEST(Around.runUntil(
+      [&] { return begun(Around) && Members("p0") == 11u; }, 40min));
+  // When it ends, the spare pool returns to its size.
+  Busy.Pools.front().SlotsInUse = 5;
+  Around.demand(Busy);
+  BOOST_TEST(Around.runUntil([&] { return Members("p4") == 10u; }, 60min));
+  checkClean(Around);
+}
