--- a/Tests/Fleet/World.h
+++ b/Tests/Fleet/World.h
@@ -58,6 +58,8 @@
   void crash(const HostName &Host, Duration Length);
   void crashRack(const RackName &Rack, Duration Length);
   void crashCentre(const DataCentreName &Centre, Duration Length);
+  /// The worker accepts tasks again, though nobody has returned it.
+  void forgetDrain(const HostName &Name) { Hosts.at(Name).Draining = false; }
   /// The next reboot of the host takes this long.
   void slowReboot(const HostName &Host, Duration Length);
   /// The entry learns no ledger; its heartbeats go on.
@@ -101,7 +103,8 @@
     std::uint64_t TasksStarted = 0;
     std::uint64_t Swaps = 0;
   };
-  /// Workers that refuse tasks or are in another pool than the ledger says.
+  /// Workers that the ledger lets accept tasks, but that refuse them or are
+  /// in another pool.
   std::vector<HostName> strayWorkers() const;
   const Counts &counts() const { return Count; }
 
