rules: Check across rules

Cause: a text may be right line by line and still ask for what can't be. Change: findings for jobs larger than any worker or longer than their deadline, quotas past a pool's slots, budgets that let no host or every host go, a maintenance period too short for the budgets, spilling without a spare pool and two spare pools; a warning for texts beyond the store's values. Findings are added in bulk, without an insertion for each.

--- a/Source/Base/Finding.cpp
+++ b/Source/Base/Finding.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <iterator>
 
 namespace balsamlatch {
 
@@ -41,10 +42,14 @@
   All.insert(Position, std::move(F));
 }
 
-void Findings::append(const Findings &Other) {
-  for (const Finding &F : Other.All) {
-    add(F);
-  }
+void Findings::append(const Findings &Other) { addAll(Other.All); }
+
+void Findings::addAll(std::vector<Finding> Many) {
+  All.insert(All.end(), std::make_move_iterator(Many.begin()),
+             std::make_move_iterator(Many.end()));
+  std::stable_sort(
+      All.begin(), All.end(),
+      [](const Finding &A, const Finding &B) { return A.Place < B.Place; });
 }
 
 bool Findings::hasErrors() const {
--- a/Source/Base/include/balsamlatch/Base/Finding.h
+++ b/Source/Base/include/balsamlatch/Base/Finding.h
@@ -40,6 +40,8 @@
 public:
   void add(Finding F);
   void append(const Findings &Other);
+  /// Adds many at once, without an insertion for each.
+  void addAll(std::vector<Finding> Many);
 
   bool hasErrors() const;
   bool empty() const { return All.empty(); }
--- a/Source/Rules/Check.cpp
+++ b/Source/Rules/Check.cpp
@@ -3,6 +3,9 @@
 
 #include "Check.h"
 
+#include "LineReader.h"
+#include "balsamlatch/Base/Units.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 #include <map>
@@ -13,38 +16,56 @@
 namespace {
 
 constexpr std::size_t OwnersNeeded = 2;
+constexpr std::uint32_t SlotsPerWorker = 8;
+constexpr Duration Day = std::chrono::hours(24);
+/// Time that a host is away for maintenance: drain, reboot and return.
+constexpr Duration HostMaintenance = std::chrono::minutes(30);
 
 /// Collects findings with the line that they are about.
 class Checker {
 public:
-  Checker(const RulesSource &Text, const RuleSet &All, Findings &Found)
-      : Source(Text), Rules(All), Problems(Found) {}
+  Checker(const RulesSource &Text, const RuleSet &All)
+      : Source(Text), Rules(All) {}
 
   void owners();
   void jobs();
   void quotas();
+  void pools();
+  void maintenance();
+  std::vector<Finding> take() { return std::move(Problems); }
 
 private:
-  /// Reports at the first place of \p Word in the rule's line.
+  void job(const JobRule &Job);
+  /// Hosts of the pool that may be away at once for maintenance.
+  std::uint32_t mayBeAway(const PoolRule &Pool) const;
+  /// Reports at the word in the rule's line, the one after `in` if there is
+  /// one.
   void report(const RuleOrigin &Origin, std::string_view Word,
               std::string Message, std::string Remedy);
 
   const RulesSource &Source;
   const RuleSet &Rules;
-  Findings &Problems;
+  std::vector<Finding> Problems;
 };
 
 void Checker::report(const RuleOrigin &Origin, std::string_view Word,
                      std::string Message, std::string Remedy) {
   const std::string_view Line = Source.Lines[Origin.Line - 1];
-  const std::size_t Found = Line.find(Word);
-  const std::size_t Column = Found == std::string_view::npos ? 0 : Found;
+  const std::vector<RuleWord> Words = splitRuleLine(Line, 0).Words;
+  // A pool's name comes after `in`; a job may have the same name.
+  const auto In = std::find_if(Words.begin(), Words.end(),
+                               [](RuleWord W) { return W.Text == "in"; });
+  const auto Is = [&](RuleWord W) { return W.Text == Word; };
+  auto Found = std::find_if(In, Words.end(), Is);
+  Found = Found == Words.end() ? std::find_if(Words.begin(), Words.end(), Is)
+                               : Found;
   Finding F;
-  F.Place = {Source.File, Origin.Line, static_cast<unsigned>(Column + 1)};
+  F.Place = {Source.File, Origin.Line,
+             Found == Words.end() ? 1 : Found->Column};
   F.Message = std::move(Message);
   F.Remedy = std::move(Remedy);
   F.SourceLine = std::string(Line);
-  Problems.add(std::move(F));
+  Problems.push_back(std::move(F));
 }
 
 void Checker::owners() {
@@ -55,7 +76,7 @@
     Missing.Message = fmt::format("{} of two co-owners", Rules.Owners.size());
     Missing.Remedy =
         "add lines owner NAME key HEX # WHO-ASKED until there are two";
-    Problems.add(std::move(Missing));
+    Problems.push_back(std::move(Missing));
   }
   for (std::size_t I = 0; I < Rules.Owners.size(); ++I) {
     const OwnerRule &Owner = Rules.Owners[I];
@@ -78,23 +99,128 @@
   }
 }
 
+void Checker::job(const JobRule &Job) {
+  const PoolRule *Pool = Rules.pool(Job.Pool);
+  if (Pool == nullptr) {
+    report(Job.Origin, Job.Pool.Text,
+           fmt::format("no pool is named '{}'", Job.Pool.Text),
+           "name a pool that has a pool line");
+    return;
+  }
+  const TaskSize &Most = Pool->WorkerSize;
+  if (Job.Size.MilliCores > Most.MilliCores ||
+      Job.Size.MemoryMiB > Most.MemoryMiB ||
+      Job.Size.Accelerators > Most.Accelerators) {
+    report(Job.Origin, "size",
+           fmt::format("job {} is larger than any worker of pool {}",
+                       Job.Job.Text, Job.Pool.Text),
+           fmt::format("make it smaller, or the worker in line {} larger",
+                       Pool->Origin.Line));
+  }
+  if (Job.RunTime > Job.Deadline) {
+    report(Job.Origin, "runs",
+           fmt::format("job {} runs for {}, longer than its deadline of {}",
+                       Job.Job.Text, formatDuration(Job.RunTime),
+                       formatDuration(Job.Deadline)),
+           "allow more time, or declare a shorter run time");
+  }
+  const bool HasSpare =
+      std::any_of(Rules.Pools.begin(), Rules.Pools.end(),
+                  [](const auto &Entry) { return Entry.second.Spare; });
+  if (Job.MaySpill && !HasSpare) {
+    report(Job.Origin, "spills", "there is no spare pool to spill to",
+           "add a pool line that ends with spare, or leave spills out");
+  }
+}
+
 void Checker::jobs() {
   for (const auto &[Name, Job] : Rules.Jobs) {
-    if (Rules.pool(Job.Pool) == nullptr) {
-      report(Job.Origin, Job.Pool.Text,
-             fmt::format("no pool is named '{}'", Job.Pool.Text),
-             "name a pool that has a pool line");
+    job(Job);
+  }
+}
+
+void Checker::pools() {
+  const PoolRule *Spare = nullptr;
+  for (const auto &[Name, Pool] : Rules.Pools) {
+    if (Pool.Away.Measure == AwayBudget::Kind::Hosts &&
+        Pool.Away.Amount >= Pool.Hosts) {
+      report(Pool.Origin, "away",
+             fmt::format("all {} hosts of pool {} may be away at once",
+                         Pool.Hosts, Name.Text),
+             "allow fewer hosts to be away");
+    }
+    if (Pool.Spare && Spare != nullptr) {
+      report(std::max(Pool.Origin, Spare->Origin), "spare",
+             "a second spare pool", "keep one spare pool");
+    }
+    Spare = Pool.Spare ? &Pool : Spare;
+  }
+}
+
+std::uint32_t Checker::mayBeAway(const PoolRule &Pool) const {
+  std::uint32_t Hosts = Pool.Away.allowed(Pool.Hosts);
+  for (const DomainRule &Domain : Rules.Domains) {
+    const bool None =
+        Domain.Away.Amount == 0 && Domain.Kind == DomainKind::DataCentre;
+    Hosts = None ? 0 : Hosts;
+  }
+  return Hosts;
+}
+
+void Checker::maintenance() {
+  const MaintenanceRule &Rule = Rules.Maintenance;
+  if (Rule.Origin.Line == 0) {
+    return;
+  }
+  Duration Daily = Rule.Windows.empty() ? Day : Duration::zero();
+  for (const DailyWindow &Window : Rule.Windows) {
+    Daily += Window.From < Window.To ? Window.To - Window.From
+                                     : Day - Window.From + Window.To;
+  }
+  const Duration Open = Rule.Period / Day * std::min(Daily, Day);
+  for (const auto &[Name, Pool] : Rules.Pools) {
+    const std::uint32_t Away = mayBeAway(Pool);
+    if (Away == 0) {
+      report(Pool.Origin, "away",
+             fmt::format("no host of pool {} may be away, so none can be "
+                         "maintained",
+                         Name.Text),
+             "allow at least one host to be away");
+      continue;
+    }
+    const Duration Needed = (Pool.Hosts + Away - 1) / Away * HostMaintenance;
+    if (Needed > Open) {
+      report(Rule.Origin, "every",
+             fmt::format("pool {} has {} hosts, {} of them away at once: "
+                         "maintenance takes {}, the windows of one period "
+                         "give {}",
+                         Name.Text, Pool.Hosts, Away, formatDuration(Needed),
+                         formatDuration(Open)),
+             "allow a longer period, wider windows or more hosts away");
     }
   }
 }
 
 void Checker::quotas() {
   std::map<std::pair<TeamName, PoolName>, RuleOrigin> Seen;
+  std::map<PoolName, std::uint64_t> Granted;
   for (const QuotaRule &Quota : Rules.Quotas) {
-    if (Rules.pool(Quota.Pool) == nullptr) {
+    const PoolRule *Pool = Rules.pool(Quota.Pool);
+    if (Pool == nullptr) {
       report(Quota.Origin, Quota.Pool.Text,
              fmt::format("no pool is named '{}'", Quota.Pool.Text),
              "name a pool that has a pool line");
+      continue;
+    }
+    const std::uint64_t Capacity = std::uint64_t(Pool->Hosts) * SlotsPerWorker;
+    std::uint64_t &Sum = Granted[Quota.Pool];
+    Sum += Quota.Slots;
+    if (Sum > Capacity) {
+      report(Quota.Origin, "slots",
+             fmt::format("the quotas of pool {} come to {} slots, its {} hosts "
+                         "have {}",
+                         Quota.Pool.Text, Sum, Pool->Hosts, Capacity),
+             "grant fewer slots, or give the pool more hosts");
     }
     const auto [Place, Added] =
         Seen.try_emplace({Quota.Team, Quota.Pool}, Quota.Origin);
@@ -112,10 +238,13 @@
 
 void checkRules(const RulesSource &Source, const RuleSet &Rules,
                 Findings &Problems) {
-  Checker Check(Source, Rules, Problems);
+  Checker Check(Source, Rules);
   Check.owners();
   Check.jobs();
   Check.quotas();
+  Check.pools();
+  Check.maintenance();
+  Problems.addAll(Check.take());
 }
 
 } // namespace balsamlatch
--- a/Source/Rules/Parser.cpp
+++ b/Source/Rules/Parser.cpp
@@ -56,13 +56,17 @@
 }
 
 ParsedRules Parser::run() {
-  if (Text.size() > MaxRulesBytes) {
+  if (Text.size() > StoredRulesBytes) {
     Finding TooLong;
     TooLong.Place = {File, 1, 1};
-    TooLong.Message = fmt::format("the text has {} bytes, more than {}",
-                                  Text.size(), MaxRulesBytes);
+    TooLong.Level =
+        Text.size() > MaxRulesBytes ? Severity::Error : Severity::Warning;
+    TooLong.Message = fmt::format("the text has {} bytes, the store takes {}",
+                                  Text.size(), StoredRulesBytes);
     TooLong.Remedy = "leave rules out or shorten comments";
     Problems.add(std::move(TooLong));
+  }
+  if (Text.size() > MaxRulesBytes) {
     return {std::move(Rules), std::move(Problems)};
   }
   std::string_view Rest = Text;
--- a/Source/Rules/include/balsamlatch/Rules/Parser.h
+++ b/Source/Rules/include/balsamlatch/Rules/Parser.h
@@ -28,7 +28,10 @@
 /// comments stay as they are. Works on faulty text too.
 std::string formatRules(std::string_view Text);
 
-/// Largest rules text, in bytes.
+/// Texts up to so many bytes fit the store with their signatures.
+inline constexpr std::size_t StoredRulesBytes = 800'000;
+
+/// Largest rules text that is read at all, in bytes.
 inline constexpr std::size_t MaxRulesBytes = 4'000'000;
 
 } // namespace balsamlatch
--- a/Tests/Rules/ParserTest.cpp
+++ b/Tests/Rules/ParserTest.cpp
@@ -7,6 +7,7 @@
 #include "balsamlatch/Rules/Parser.h"
 
 #include <fstream>
+#include <random>
 #include <sstream>
 
 using namespace balsamlatch;
@@ -58,3 +59,70 @@
               std::vector<DailyWindow>{{22h, 4h}}));
   BOOST_TEST(Parsed.Rules.Weights.Moves == 10U);
 }
+
+BOOST_AUTO_TEST_CASE(FindingsAcrossRules) {
+  const std::string Good = exampleText("brunnengeld.rules");
+  struct Case {
+    const char *From;
+    const char *To;
+    const char *Message;
+  };
+  for (const Case &C : std::initializer_list<Case>{
+           {"count-coins in counting", "count-coins in counted",
+            ":16:20: error: no pool is named 'counted'"},
+           {"within 2s size 1 core 512", "within 2s size 65 cores 512",
+            "is larger than any worker of pool counting"},
+           {"runs 200ms", "runs 3s", "longer than its deadline of 2s"},
+           {"drivers 40 slots", "drivers 41 slots",
+            "come to 81 slots, its 10 hosts have 80"},
+           {"256 GiB spare #", "256 GiB #", "no spare pool to spill to"},
+           {"routes 10 hosts away 2 hosts", "routes 10 hosts away 10 hosts",
+            "all 10 hosts of pool routes may be away at once"},
+           {"counting 10 hosts away 10%", "counting 9 hosts away 10%",
+            "no host of pool counting may be away"},
+           {"every 8w from 22h to 4h", "every 1d from 22h to 23h",
+            "the windows of one period give 1h"},
+           {"owner beat key a87", "owner anna key a87",
+            "co-owner anna is given twice"},
+           {"owner beat key", "# owner beat key", "1 of two co-owners"},
+           {"job tally-crew", "job count-coins", "given twice"},
+           {" # Beat, drivers\npool", "\npool", "nobody is named"}}) {
+    std::string Text = Good;
+    Text.replace(Text.find(C.From), std::string(C.From).size(), C.To);
+    const std::string Found = parseRules("x", Text).Problems.render();
+    BOOST_TEST(Found.find(C.Message) != std::string::npos,
+               C.Message << " in " << Found);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MutatedTextsNeitherCrashNorChangeByFormatting) {
+  std::mt19937 Random(7);
+  const std::string Bytes("\t #%\r\n0aé\0\x80\xff", 13);
+  const std::string Good = exampleText("nile-tread.rules");
+  for (int Round = 0; Round < 2000; ++Round) {
+    std::string Text = Good;
+    for (unsigned Edits = Random() % 4 + 1; Edits > 0; --Edits) {
+      const std::size_t At = Random() % Text.size();
+      switch (Random() % 4) {
+      case 0:
+        Text[At] = Bytes[Random() % Bytes.size()];
+        break;
+      case 1:
+        Text.erase(At, Random() % 40);
+        break;
+      case 2:
+        Text.insert(At, Text.substr(Random() % Text.size(), Random() % 60));
+        break;
+      default:
+        Text.insert(At, 1, Bytes[Random() % Bytes.size()]);
+      }
+    }
+    const ParsedRules Once = parseRules("x", Text);
+    const std::string Tidy = formatRules(Text);
+    const ParsedRules Twice = parseRules("x", Tidy);
+    BOOST_REQUIRE(Once.Problems.hasErrors() == Twice.Problems.hasErrors());
+    BOOST_REQUIRE((Once.Rules == Twice.Rules));
+    BOOST_REQUIRE(formatRules(Tidy) == Tidy);
+    BOOST_REQUIRE(Once.Problems.all().size() < 200U);
+  }
+}
