--- a/Tests/RunTool/ToolTest.cpp
+++ b/Tests/RunTool/ToolTest.cpp
@@ -98,6 +98,7 @@
   std::string run(std::vector<std::string> Words) {
     Words.insert(Words.begin(), "balsamlatch");
     std::vector<const char *> Pointers;
+    Pointers.reserve(Words.size());
     for (const std::string &Word : Words) {
       Pointers.push_back(Word.c_str());
     }
@@ -247,6 +248,23 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(AKeyChangesWithBothOldOwnersAndTheNewKey) {
+  Bench B;
+  const std::string New = B.run({"keygen", "beat", "--out", B.path("new.key")});
+  const std::string Text = B.show();
+  const std::size_t Start = Text.find("owner beat");
+  const std::string Old =
+      Text.substr(Start, Text.find('\n', Start) + 1 - Start);
+  const std::string Id = B.propose("anna", Old, New);
+  BOOST_TEST(contains(B.sign("beat", Id), "signed; waits for key "));
+  BOOST_TEST(contains(B.show(), Old));
+  BOOST_TEST(contains(B.sign("new", Id), "in force as version 2"));
+  B.sign("beat", B.propose("anna", "40 slots", "50 slots"));
+  BOOST_TEST(contains(B.Errors, "none of those that must sign"));
+  B.sign("new", B.propose("anna", "40 slots", "60 slots"));
+  BOOST_TEST(contains(B.show(), "60 slots"));
+}
+
 BOOST_AUTO_TEST_CASE(TheStoreCantChangeTheRules) {
   Bench B;
   StoreEntry &Base = B.Store.Keys["rules/base"];
