--- a/Source/Placement/Engine.cpp
+++ b/Source/Placement/Engine.cpp
@@ -122,7 +122,8 @@
 
 void Engine::Impl::on(const Tick & /*E*/) {
   for (auto &[Name, P] : Pools) {
-    if (!P.Queue.empty() || !P.Own.idle()) {
+    const bool Spilled = P.Spare && !P.Spare->idle();
+    if (!P.Queue.empty() || !P.Own.idle() || Spilled) {
       Dirty.insert(Name);
     }
   }
--- a/Source/Placement/EngineAttempts.cpp
+++ b/Source/Placement/EngineAttempts.cpp
@@ -12,6 +12,10 @@
 /// A run is long when it takes this many times the high quantile.
 constexpr int HedgeFactor = 2;
 constexpr Duration ShortestHedgeWait = std::chrono::milliseconds(20);
+/// Declared run times may be ten times too short.
+constexpr int LeaseFactor = 20;
+constexpr Duration ShortestLease = std::chrono::seconds(30);
+constexpr unsigned MostLeaseDoublings = 6;
 /// A decision is acted on within this time or not at all, since the worker
 /// may have begun to leave.
 constexpr Duration DispatchWithin = std::chrono::seconds(1);
@@ -199,7 +203,7 @@
                                HedgeFactor * Sizes.runTime(R.Rule)));
   }
   Out.push_back(StartAttempt{
-      Attempt, R.Asked.Id, R.Asked.Job, View.Host, View.At, R.Deadline - Now,
+      Attempt, R.Asked.Id, R.Asked.Job, View.Host, View.At, leaseFor(R),
       std::min({R.Deadline, R.DispatchBefore, Now + DispatchWithin})});
   const Reason Why = R.Hedging     ? Reason::Hedged
                      : R.Tries > 1 ? Reason::Retried
@@ -214,6 +218,19 @@
   R.Hedging = false;
 }
 
+/// An idempotent task that doesn't end is lost with its lease and tried
+/// elsewhere; others may run until their deadline.
+Duration Engine::Impl::leaseFor(const OpenRequest &R) const {
+  const Duration Left = R.Deadline - Now;
+  if (!R.Rule.Idempotent) {
+    return Left;
+  }
+  const Duration Usual =
+      std::max(ShortestLease, LeaseFactor * Sizes.runTime(R.Rule));
+  const unsigned Doublings = std::min(R.Tries - 1, MostLeaseDoublings);
+  return std::min(Left, Usual * (1 << Doublings));
+}
+
 /// Queues a second attempt of an idempotent request whose first takes long.
 void Engine::Impl::hedge(OpenRequest &R) {
   PoolState &P = pool(R.Rule.Pool);
--- a/Source/Placement/EngineImpl.h
+++ b/Source/Placement/EngineImpl.h
@@ -29,8 +29,10 @@
 
 /// Part of a pool's slots that patient work may hold, in percent.
 inline constexpr std::uint32_t PatientPercent = 75;
-/// The least such part, in a pool whose prompt bursts can't all spill.
-inline constexpr std::uint32_t PatientFloorPercent = 25;
+/// The least such part, in a pool whose prompt bursts can't all spill, and in
+/// one where they can.
+inline constexpr std::uint32_t PatientFloor = 25;
+inline constexpr std::uint32_t PatientFloorOfSpilling = 50;
 
 enum class Phase { Claiming, Waiting, BackingOff, Running };
 
@@ -148,6 +150,7 @@
   void dispatch(OpenRequest &R, WorkerState &Worker);
   void start(OpenRequest &R, WorkerState &Worker);
   std::optional<Reason> obstacle(const OpenRequest &R);
+  Duration leaseFor(const OpenRequest &R) const;
   void hedge(OpenRequest &R);
   void settle(OpenRequest &R, AttemptId Attempt, TaskEnd End);
   void retry(OpenRequest &R, TaskEnd End);
--- a/Source/Placement/EngineSlots.cpp
+++ b/Source/Placement/EngineSlots.cpp
@@ -68,7 +68,7 @@
     SchedulerLimits Limits;
     Limits.PatientPercent = PatientPercent;
     Limits.PatientFloorPercent =
-        allPromptSpills(Name) ? PatientPercent : PatientFloorPercent;
+        allPromptSpills(Name) ? PatientFloorOfSpilling : PatientFloor;
     Limits.SpillingPools = Name == SparePool ? spillingPools() : 0;
     Scheduler.setLimits(Limits);
     Scheduler.setWorkers(Open);
@@ -135,18 +135,20 @@
 
 void Engine::Impl::askFor(SlotHolder &Holder, const PoolName &Target,
                           const SlotDemand &Wanted) {
-  const std::optional<SlotAsk> Ask =
-      Holder.ask(Wanted, Now, [&] { return Workers.avoided(Target, Now); });
+  const bool Local = Holder.scheduler() == Options.Self;
+  const std::optional<SlotAsk> Ask = Holder.ask(
+      Wanted, Now, Local, [&] { return Workers.avoided(Target, Now); });
   if (!Ask) {
     return;
   }
-  if (Holder.scheduler() != Options.Self) {
+  if (!Local) {
     Out.push_back(SendSlotMessage{Holder.scheduler(), *Ask});
     return;
   }
   const auto Found = Schedulers.find(Target);
   if (Found != Schedulers.end()) {
-    deliver(Found->second.asked(Options.Self, *Ask, Now));
+    deliver(Found->second.asked(Options.Self, *Ask, Now,
+                                Holder.lastAskWasChanges()));
   }
 }
 
--- a/Source/Placement/SlotHolder.cpp
+++ b/Source/Placement/SlotHolder.cpp
@@ -25,6 +25,12 @@
   LastAsk.reset();
   UnansweredSince.reset();
   Shrunk = true;
+  for (const auto &[Host, Slots] : InUse) {
+    Changed.insert(Host);
+  }
+  for (const Unspent &U : Unused) {
+    Changed.insert(U.Host);
+  }
 }
 
 void SlotHolder::granted(const EntryName &From, const SlotGrant &Grant,
@@ -36,15 +42,23 @@
   UnansweredSince.reset();
   Free = Grant.Free;
   LastGrant = std::max(LastGrant, Grant.Number);
+  if (Grant.Slots > 0) {
+    Changed.insert(Grant.Host);
+  }
   for (std::uint32_t I = 0; I < Grant.Slots; ++I) {
     Unused.push_back({Grant.Host, Grant.Class, Now + Grant.ValidFor});
   }
 }
 
 void SlotHolder::lapse(Instant Now) {
-  const std::size_t Before = Unused.size();
-  Unused.remove_if([&](const Unspent &U) { return U.VoidAt <= Now; });
-  Shrunk = Shrunk || Unused.size() != Before;
+  Unused.remove_if([&](const Unspent &U) {
+    const bool Void = U.VoidAt <= Now;
+    if (Void) {
+      Changed.insert(U.Host);
+      Shrunk = true;
+    }
+    return Void;
+  });
 }
 
 std::optional<HostName>
@@ -65,10 +79,12 @@
 
 void SlotHolder::started(const HostName &Host, JobClass Class) {
   ++InUse[Host];
+  Changed.insert(Host);
   PatientInUse += Class == JobClass::Patient ? 1 : 0;
 }
 
 void SlotHolder::ended(const HostName &Host, JobClass Class) {
+  Changed.insert(Host);
   const auto Found = InUse.find(Host);
   if (--Found->second == 0) {
     InUse.erase(Found);
@@ -78,7 +94,7 @@
 }
 
 std::optional<SlotAsk>
-SlotHolder::ask(const SlotDemand &Wanted, Instant Now,
+SlotHolder::ask(const SlotDemand &Wanted, Instant Now, bool OnlyChanges,
                 const std::function<std::vector<HostName>()> &Avoid) {
   lapse(Now);
   const bool Wants = Wanted.Prompt > 0 || Wanted.Patient > 0;
@@ -94,21 +110,30 @@
       (!Wants && !Holds && !LastAsk)) {
     return std::nullopt;
   }
-  SlotAsk Ask = compose(Wanted, Now);
+  SlotAsk Ask = compose(Wanted, Now, OnlyChanges);
   Ask.Avoid = Avoid();
   return Ask;
 }
 
-SlotAsk SlotHolder::compose(const SlotDemand &Wanted, Instant Now) {
+std::uint32_t SlotHolder::held(const HostName &Host) const {
+  const auto Using = InUse.find(Host);
+  const auto Waiting =
+      std::count_if(Unused.begin(), Unused.end(),
+                    [&](const Unspent &U) { return U.Host == Host; });
+  return (Using == InUse.end() ? 0 : Using->second) +
+         static_cast<std::uint32_t>(Waiting);
+}
+
+SlotAsk SlotHolder::compose(const SlotDemand &Wanted, Instant Now,
+                            bool OnlyChanges) {
+  AskedChanges = OnlyChanges && LastAsk && Now - *LastAsk < RefreshAsk;
   LastAsk = Now;
   LastDemand = Wanted;
   Shrunk = false;
   UnansweredSince = UnansweredSince.value_or(Now);
-  std::map<HostName, std::uint32_t> Holding = InUse;
   SlotAsk Ask;
   Ask.PatientInUse = PatientInUse;
   for (const Unspent &U : Unused) {
-    ++Holding[U.Host];
     Ask.PatientInUse += U.Class == JobClass::Patient ? 1 : 0;
   }
   Ask.Pool = Pool;
@@ -119,7 +144,19 @@
     Ask.EarliestDeadline =
         std::max(Duration(1), *Wanted.EarliestDeadline - Now);
   }
-  Ask.InUse.assign(Holding.begin(), Holding.end());
+  if (!AskedChanges) {
+    Changed.clear();
+    for (const auto &[Host, Slots] : InUse) {
+      Changed.insert(Host);
+    }
+    for (const Unspent &U : Unused) {
+      Changed.insert(U.Host);
+    }
+  }
+  for (const HostName &Host : Changed) {
+    Ask.InUse.emplace_back(Host, held(Host));
+  }
+  Changed.clear();
   Ask.Sequence = ++Sequence;
   Ask.LastGrant = LastGrant;
   return Ask;
--- a/Source/Placement/SlotScheduler.cpp
+++ b/Source/Placement/SlotScheduler.cpp
@@ -101,15 +101,34 @@
   rank(Host, W, true);
 }
 
+void SlotScheduler::setHold(Asker &A, const HostName &Host,
+                            std::uint32_t Slots) {
+  std::uint32_t &Has = A.Holds[Host];
+  if (Slots > Has) {
+    hold(Host, Slots - Has);
+  } else if (Slots < Has) {
+    drop(Host, Has - Slots);
+  }
+  A.HoldsTotal = A.HoldsTotal + Slots - Has;
+  Has = Slots;
+  if (Slots == 0) {
+    A.Holds.erase(Host);
+  }
+}
+
+void SlotScheduler::uncount(const AskerId &Who, const Asker &A) {
+  HeldFor[Who.second] -= A.PromptHeld + A.PatientHeld;
+  PatientHeld -= A.PatientHeld;
+}
+
 void SlotScheduler::forget(const AskerId &Who, const Asker &Gone) {
-  for (const auto &[Host, Slots] : Gone.Last.InUse) {
+  for (const auto &[Host, Slots] : Gone.Holds) {
     drop(Host, Slots);
   }
   for (const Pending &Grant : Gone.Sent) {
     drop(Grant.Host, Grant.Slots);
   }
-  HeldFor[Who.second] -= Gone.PromptHeld + Gone.PatientHeld;
-  PatientHeld -= Gone.PatientHeld;
+  uncount(Who, Gone);
 }
 
 void SlotScheduler::setEntries(const std::vector<EntryName> &Live) {
@@ -125,15 +144,11 @@
 }
 
 /// Sums up what the asker holds and still wants.
-void SlotScheduler::count(Asker &A) const {
-  std::uint32_t InUse = 0;
-  for (const auto &[Host, Slots] : A.Last.InUse) {
-    InUse += Slots;
-  }
-  A.PatientHeld = std::min(A.Last.PatientInUse, InUse);
-  A.PromptHeld = InUse - A.PatientHeld;
-  A.Prompt = A.Last.Prompt;
-  A.Patient = A.Last.Patient;
+void SlotScheduler::count(Asker &A, const SlotAsk &Ask) {
+  A.PatientHeld = std::min(Ask.PatientInUse, A.HoldsTotal);
+  A.PromptHeld = A.HoldsTotal - A.PatientHeld;
+  A.Prompt = Ask.Prompt;
+  A.Patient = Ask.Patient;
   for (const Pending &Grant : A.Sent) {
     const bool IsPatient = Grant.Class == JobClass::Patient;
     std::uint32_t &HeldOfClass = IsPatient ? A.PatientHeld : A.PromptHeld;
@@ -144,27 +159,40 @@
 }
 
 SlotScheduler::Grants SlotScheduler::asked(const EntryName &From,
-                                           const SlotAsk &Ask, Instant Now) {
+                                           const SlotAsk &Ask, Instant Now,
+                                           bool OnlyChanges) {
   const AskerId Who(From, Ask.For.empty() ? Pool : Ask.For);
   Asker &A = Askers[Who];
   Grants Out;
-  if (Ask.Sequence < A.Last.Sequence) {
+  if (Ask.Sequence < A.Sequence) {
     return Out;
   }
-  forget(Who, A);
+  uncount(Who, A);
   std::erase_if(A.Sent, [&](const Pending &Grant) {
-    return Grant.Number <= Ask.LastGrant || Grant.VoidAt <= Now;
+    const bool Over = Grant.Number <= Ask.LastGrant || Grant.VoidAt <= Now;
+    if (Over) {
+      drop(Grant.Host, Grant.Slots);
+    }
+    return Over;
   });
-  A.Last = Ask;
-  A.At = Now;
-  A.Deadline = Now + Ask.EarliestDeadline;
-  for (const auto &[Host, Slots] : Ask.InUse) {
-    hold(Host, Slots);
+  if (!OnlyChanges) {
+    const std::map<HostName, std::uint32_t> Holding(Ask.InUse.begin(),
+                                                    Ask.InUse.end());
+    const auto Before = A.Holds;
+    for (const auto &[Host, Slots] : Before) {
+      if (!Holding.contains(Host)) {
+        setHold(A, Host, 0);
+      }
+    }
   }
-  for (const Pending &Grant : A.Sent) {
-    hold(Grant.Host, Grant.Slots);
+  for (const auto &[Host, Slots] : Ask.InUse) {
+    setHold(A, Host, Slots);
   }
-  count(A);
+  A.Sequence = Ask.Sequence;
+  A.Avoid = Ask.Avoid;
+  A.At = Now;
+  A.Deadline = Now + Ask.EarliestDeadline;
+  count(A, Ask);
   HeldFor[Who.second] += A.PromptHeld + A.PatientHeld;
   PatientHeld += A.PatientHeld;
   notePeak(Now);
@@ -279,8 +307,7 @@
 const HostName *SlotScheduler::pick(const Asker &A) const {
   for (const Rank &R : Open) {
     const HostName &Host = std::get<HostName>(R);
-    if (std::find(A.Last.Avoid.begin(), A.Last.Avoid.end(), Host) ==
-        A.Last.Avoid.end()) {
+    if (std::find(A.Avoid.begin(), A.Avoid.end(), Host) == A.Avoid.end()) {
       return &Host;
     }
   }
--- a/Source/Placement/include/balsamlatch/Placement/SlotHolder.h
+++ b/Source/Placement/include/balsamlatch/Placement/SlotHolder.h
@@ -13,6 +13,7 @@
 #include <list>
 #include <map>
 #include <optional>
+#include <set>
 #include <utility>
 #include <vector>
 
@@ -50,11 +51,15 @@
   void started(const HostName &Host, JobClass Class);
   void ended(const HostName &Host, JobClass Class);
 
-  /// The message to send now, if one is due. \p Avoid is called only then.
+  /// The message to send now, if one is due. \p Avoid is called only then. To
+  /// a scheduler in this entry, \p OnlyChanges leaves out the hosts whose
+  /// number of slots is as in the last ask, unless that was long ago.
   std::optional<SlotAsk>
-  ask(const SlotDemand &Wanted, Instant Now,
+  ask(const SlotDemand &Wanted, Instant Now, bool OnlyChanges,
       const std::function<std::vector<HostName>()> &Avoid);
 
+  /// Whether the last ask named only the hosts whose number changed.
+  bool lastAskWasChanges() const { return AskedChanges; }
   /// No scheduler answers: choose without grants.
   bool unanswered(Instant Now) const;
   /// The scheduler said that the pool has no free slot.
@@ -72,7 +77,8 @@
   };
 
   void lapse(Instant Now);
-  SlotAsk compose(const SlotDemand &Wanted, Instant Now);
+  SlotAsk compose(const SlotDemand &Wanted, Instant Now, bool OnlyChanges);
+  std::uint32_t held(const HostName &Host) const;
 
   PoolName Pool;
   PoolName For;
@@ -80,6 +86,9 @@
   std::list<Unspent> Unused;
   std::map<HostName, std::uint32_t> InUse;
   std::uint32_t PatientInUse = 0;
+  bool AskedChanges = false;
+  // Hosts whose number of held slots may differ from the last ask.
+  std::set<HostName> Changed;
   SlotDemand LastDemand;
   // Holdings shrank since the last ask.
   bool Shrunk = false;
--- a/Source/Placement/include/balsamlatch/Placement/SlotScheduler.h
+++ b/Source/Placement/include/balsamlatch/Placement/SlotScheduler.h
@@ -57,7 +57,10 @@
   void setEntries(const std::vector<EntryName> &Live);
 
   /// Grants to send: at least one to the asker, perhaps some to others.
-  Grants asked(const EntryName &From, const SlotAsk &Ask, Instant Now);
+  /// \p OnlyChanges: InUse names only the hosts whose number changed, as the
+  /// scheduler's own entry may say it, since nothing between them is lost.
+  Grants asked(const EntryName &From, const SlotAsk &Ask, Instant Now,
+               bool OnlyChanges = false);
   /// Voids grants that were never confirmed. Call every TickPeriod.
   Grants tick(Instant Now);
 
@@ -77,12 +80,16 @@
     Instant VoidAt{};
   };
   struct Asker {
-    SlotAsk Last;
+    std::uint64_t Sequence = 0;
+    // Slots held by host as of the last ask, and their sum.
+    std::unordered_map<HostName, std::uint32_t> Holds;
+    std::uint32_t HoldsTotal = 0;
+    std::vector<HostName> Avoid;
     Instant At{};
     Instant Deadline = Instant::max();
-    // Grants that Last doesn't show yet.
+    // Grants that Holds doesn't show yet.
     std::vector<Pending> Sent;
-    // Wanted by Last and not granted since.
+    // Wanted by the last ask and not granted since.
     std::uint32_t Prompt = 0;
     std::uint32_t Patient = 0;
     std::uint32_t PromptHeld = 0;
@@ -101,7 +108,9 @@
   void drop(const HostName &Host, std::uint32_t Slots);
   void rank(const HostName &Host, Worker &W, bool Insert);
   void forget(const AskerId &Who, const Asker &Gone);
-  void count(Asker &A) const;
+  void setHold(Asker &A, const HostName &Host, std::uint32_t Slots);
+  void uncount(const AskerId &Who, const Asker &A);
+  static void count(Asker &A, const SlotAsk &Ask);
   std::map<AskerId, Asker>::iterator nextPrompt();
   std::map<AskerId, Asker>::iterator nextPatient();
   bool patientAllowed() const;
