fleet: Order waves by the fullest failure domain, copy the ledger only for changes

Change: within a pool the data centre and the rack with the most hosts left go first; a draft copies the ledger at its first change.

--- a/Source/Fleet/Draft.cpp
+++ b/Source/Fleet/Draft.cpp
@@ -6,49 +6,46 @@
 namespace balsamlatch::fleet {
 
 const HostRecord *Draft::find(const HostName &Host) const {
-  const auto Found = Next.Hosts.find(Host);
-  return Found == Next.Hosts.end() ? nullptr : &Found->second;
+  const std::map<HostName, HostRecord> &Hosts = value().Hosts;
+  const auto Found = Hosts.find(Host);
+  return Found == Hosts.end() ? nullptr : &Found->second;
 }
 
 absl::Status Draft::change(const HostName &Host, HostChange Change) {
-  const auto Found = Next.Hosts.find(Host);
-  if (Found == Next.Hosts.end()) {
+  const HostRecord *Record = find(Host);
+  if (Record == nullptr) {
     return absl::NotFoundError("the ledger has no host " + Host.Text);
   }
-  if (Found->second.StateVersion > BaseVersion) {
+  if (Record->StateVersion > BaseVersion) {
     return absl::FailedPreconditionError("changed in this draft already");
   }
-  const absl::StatusOr<HostState> State =
-      nextState(Found->second.State, Change);
+  const absl::StatusOr<HostState> State = nextState(Record->State, Change);
   if (!State.ok()) {
     return State.status();
   }
-  Found->second.State = *State;
+  HostRecord &Changed = edit(Host);
+  Changed.State = *State;
   // The store's next version is at least this, and no version lies between.
-  Found->second.StateVersion = BaseVersion + 1;
-  Changed = true;
+  Changed.StateVersion = BaseVersion + 1;
   return absl::OkStatus();
 }
 
-HostRecord &Draft::edit(const HostName &Host) {
-  Changed = true;
-  return Next.Hosts.at(Host);
-}
+HostRecord &Draft::edit(const HostName &Host) { return own().Hosts.at(Host); }
 
-Ledger &Draft::editWhole() {
-  Changed = true;
-  return Next;
-}
+Ledger &Draft::editWhole() { return own(); }
 
 void Draft::add(const HostName &Host, HostRecord Record) {
   Record.StateVersion = BaseVersion + 1;
-  Next.Hosts.insert_or_assign(Host, std::move(Record));
-  Changed = true;
+  own().Hosts.insert_or_assign(Host, std::move(Record));
 }
 
-void Draft::remove(const HostName &Host) {
-  Next.Hosts.erase(Host);
-  Changed = true;
+void Draft::remove(const HostName &Host) { own().Hosts.erase(Host); }
+
+Ledger &Draft::own() {
+  if (!Own) {
+    Own = *Base;
+  }
+  return *Own;
 }
 
 void Draft::note(const HostName &Host, std::string Reason, unsigned RuleLine,
--- a/Source/Fleet/Draft.h
+++ b/Source/Fleet/Draft.h
@@ -8,18 +8,20 @@
 #include "HostLifecycle.h"
 #include "balsamlatch/Fleet/Controller.h"
 
+#include <optional>
 #include <vector>
 
 namespace balsamlatch::fleet {
 
 class Draft {
 public:
-  Draft(Ledger Base, std::uint64_t Version)
-      : Next(std::move(Base)), BaseVersion(Version) {}
+  /// \p From must outlive the draft until the draft is changed.
+  Draft(const Ledger &From, std::uint64_t Version)
+      : Base(&From), BaseVersion(Version) {}
 
-  const Ledger &value() const { return Next; }
+  const Ledger &value() const { return Own ? *Own : *Base; }
   std::uint64_t baseVersion() const { return BaseVersion; }
-  bool changed() const { return Changed; }
+  bool changed() const { return Own.has_value(); }
 
   /// The host's record, or null.
   const HostRecord *find(const HostName &Host) const;
@@ -42,10 +44,13 @@
   std::vector<LogFleetDecision> takeNotes() { return std::move(Notes); }
 
 private:
-  Ledger Next;
-  // Invariant: Next is written only over this version.
+  Ledger &own();
+
+  const Ledger *Base;
+  // Copied from Base by the first change: most drafts stay unchanged.
+  std::optional<Ledger> Own;
+  // Invariant: the draft is written only over this version.
   std::uint64_t BaseVersion;
-  bool Changed = false;
   std::vector<LogFleetDecision> Notes;
 };
 
--- a/Source/Fleet/HostSteps.cpp
+++ b/Source/Fleet/HostSteps.cpp
@@ -39,10 +39,14 @@
   if (Found == nullptr || Found->StateVersion > Next.baseVersion()) {
     return {};
   }
+  if (Found->State == HostState::InService) {
+    return stepInService(Host);
+  }
+  // A copy: the steps change the draft.
   const HostRecord Record = *Found;
   switch (Record.State) {
   case HostState::InService:
-    return stepInService(Host);
+    return {};
   case HostState::Leaving:
     return stepLeaving(Host, Record);
   case HostState::Drained:
--- a/Source/Fleet/Plan.cpp
+++ b/Source/Fleet/Plan.cpp
@@ -39,21 +39,42 @@
   return Rounds;
 }
 
-/// The pool with the most rounds left first; within it by failure domain, so
-/// that one domain is finished before the next is begun.
+/// Hosts that are due in each group.
+template <typename Name>
+std::map<Name, std::uint32_t> countDue(const std::vector<Candidate> &Due,
+                                       Name HostRecord::*Group) {
+  std::map<Name, std::uint32_t> Numbers;
+  for (const Candidate Host : Due) {
+    ++Numbers[Host->second.*Group];
+  }
+  return Numbers;
+}
+
+/// The pool with the most rounds left first; within it the data centre and the
+/// rack with the most hosts left, so that the end of a wave isn't crowded into
+/// one failure domain.
 void sortByUrgency(std::vector<Candidate> &Due, const AwayCounts &Counts,
                    const RuleSet &Rules) {
-  const std::map<PoolName, std::uint32_t> Rounds =
-      roundsByPool(Due, Counts, Rules);
-  const auto Key = [&](Candidate Host) {
+  const auto Rounds = roundsByPool(Due, Counts, Rules);
+  const auto InCentre = countDue(Due, &HostRecord::DataCentre);
+  const auto InRack = countDue(Due, &HostRecord::Rack);
+  using Urgency = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+  std::vector<std::pair<Urgency, Candidate>> Keyed;
+  Keyed.reserve(Due.size());
+  for (const Candidate Host : Due) {
     const HostRecord &Record = Host->second;
-    return std::make_tuple(-static_cast<std::int64_t>(Rounds.at(Record.Pool)),
-                           std::cref(Record.DataCentre), std::cref(Record.Rack),
-                           std::cref(Host->first));
-  };
-  std::sort(Due.begin(), Due.end(), [&](Candidate One, Candidate Other) {
-    return Key(One) < Key(Other);
-  });
+    Keyed.emplace_back(Urgency(Rounds.at(Record.Pool),
+                               InCentre.at(Record.DataCentre),
+                               InRack.at(Record.Rack)),
+                       Host);
+  }
+  // Due is in the order of the names, which decides between equals.
+  std::stable_sort(Keyed.begin(), Keyed.end(),
+                   [](const auto &One, const auto &Other) {
+                     return One.first > Other.first;
+                   });
+  std::transform(Keyed.begin(), Keyed.end(), Due.begin(),
+                 [](const auto &Item) { return Item.second; });
 }
 
 std::vector<Candidate> dueHosts(const Ledger &Value, const RuleSet &Rules,
