--- a/Source/Fleet/HostSteps.cpp
+++ b/Source/Fleet/HostSteps.cpp
@@ -39,10 +39,14 @@
   if (Found == nullptr || Found->StateVersion > Next.baseVersion()) {
     return {};
   }
+  if (Found->State == HostState::InService) {
+    return stepInService(Host);
+  }
+  // A copy: the steps change the draft.
   const HostRecord Record = *Found;
   switch (Record.State) {
   case HostState::InService:
-    return stepInService(Host);
+    return {};
   case HostState::Leaving:
     return stepLeaving(Host, Record);
   case HostState::Drained:
@@ -205,6 +209,9 @@
     return {"waiting-worker", 0, "the worker does not report"};
   }
   const Operation &Hand = Record.InHand;
+  if (Hand.Kind == OperationKind::Drain && !Hand.Cancelled) {
+    return {"host-held", 0, "drained until an owner returns it"};
+  }
   const bool Rebooted = Hand.BootBefore != 0;
   if (Rebooted) {
     if (!ordered(HostOrderKind::Reboot, Host, Hand)) {
