--- a/Tests/Histories/Checker.cpp
+++ b/Tests/Histories/Checker.cpp
@@ -121,10 +121,11 @@
   }
 
   bool killedDuring(const Call &One) const {
-    return std::any_of(
-        Run.Kills.begin(), Run.Kills.end(), [&One](const Kill &K) {
-          return K.Entry == One.Entry && K.At >= One.Sent && K.At <= One.Ended;
-        });
+    return std::any_of(Run.Kills.begin(), Run.Kills.end(),
+                       [&One](const Kill &K) {
+                         return K.Entry == One.Entry && K.Until >= One.Sent &&
+                                K.From <= One.Ended;
+                       });
   }
 
   void everyCallEnds() {
--- a/Tests/Histories/History.h
+++ b/Tests/Histories/History.h
@@ -74,10 +74,12 @@
   auto operator<=>(const Leaving &) const = default;
 };
 
-/// An entry that was killed, which may break the calls open at it.
+/// The time in which an entry was killed, which may break the calls open at
+/// it.
 struct Kill {
   std::string Entry;
-  Instant At{};
+  Instant From{};
+  Instant Until{};
 
   auto operator<=>(const Kill &) const = default;
 };
