--- a/Source/Daemon/OperatorFront.cpp
+++ b/Source/Daemon/OperatorFront.cpp
@@ -3,9 +3,10 @@
 
 #include "balsamlatch/Daemon/OperatorFront.h"
 
+#include "balsamlatch/Fleet/Plan.h"
+
 #include <absl/status/statusor.h>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <optional>
 #include <utility>
@@ -14,11 +15,12 @@
 
 namespace {
 
-constexpr std::string_view FleetPath = "/v1/fleet/";
+constexpr std::string_view OrdersPath = "/v1/fleet/orders";
 constexpr std::string_view ExplainPath = "/v1/explain/";
 constexpr std::size_t MaxOrderBytes = 16'384;
 /// Longest wait for the controller's answer to an order.
 constexpr Duration OrderWait = std::chrono::seconds(10);
+constexpr unsigned PlannedRounds = 5;
 constexpr Duration ExpirePeriod = std::chrono::milliseconds(500);
 
 http::ServerOptions serverOptions(const Address &At) {
@@ -52,37 +54,26 @@
   return std::nullopt;
 }
 
-std::string member(const boost::json::object &Body, std::string_view Name) {
-  const boost::json::value *Found = Body.if_contains(Name);
-  return Found != nullptr && Found->is_string()
-             ? std::string(Found->get_string())
-             : std::string();
-}
-
-absl::StatusOr<fleet::OperatorAsked> readOrder(fleet::OperatorVerb Verb,
-                                               std::string_view Text) {
-  boost::system::error_code Fault;
-  const boost::json::value Parsed = boost::json::parse(Text, Fault);
-  if (Fault || !Parsed.is_object()) {
-    return absl::InvalidArgumentError("the body is not a JSON object");
+absl::StatusOr<fleet::OperatorAsked> asked(const wire::OwnerOrder &Order,
+                                           OwnerName By) {
+  const std::optional<fleet::OperatorVerb> Verb = verbOf(Order.Verb);
+  if (!Verb) {
+    return absl::InvalidArgumentError(
+        "the verb is none of drain, return, move, halt and resume");
   }
-  const boost::json::object &Body = Parsed.get_object();
-  fleet::OperatorAsked Asked;
-  Asked.Verb = Verb;
-  Asked.Host = HostName(member(Body, "host"));
-  Asked.Pool = PoolName(member(Body, "pool"));
-  Asked.By = OwnerName(member(Body, "by"));
-  const bool NeedsHost =
-      Verb != fleet::OperatorVerb::Halt && Verb != fleet::OperatorVerb::Resume;
-  if (NeedsHost && Asked.Host.empty()) {
+  const bool NeedsHost = *Verb != fleet::OperatorVerb::Halt &&
+                         *Verb != fleet::OperatorVerb::Resume;
+  if (NeedsHost && Order.Host.empty()) {
     return absl::InvalidArgumentError("the member 'host' is missing");
   }
-  if (Verb == fleet::OperatorVerb::Move && Asked.Pool.empty()) {
+  if (*Verb == fleet::OperatorVerb::Move && Order.Pool.empty()) {
     return absl::InvalidArgumentError("the member 'pool' is missing");
   }
-  if (Asked.By.empty()) {
-    return absl::InvalidArgumentError("the member 'by' is missing");
-  }
+  fleet::OperatorAsked Asked;
+  Asked.Verb = *Verb;
+  Asked.Host = Order.Host;
+  Asked.Pool = Order.Pool;
+  Asked.By = std::move(By);
   return Asked;
 }
 
@@ -92,6 +83,10 @@
     return message(200, "ok", "");
   case absl::StatusCode::kInvalidArgument:
     return message(400, "invalid", std::string(Status.message()));
+  case absl::StatusCode::kUnauthenticated:
+    return message(401, "not-authorised", std::string(Status.message()));
+  case absl::StatusCode::kAlreadyExists:
+    return message(409, "replayed", std::string(Status.message()));
   case absl::StatusCode::kNotFound:
     return message(404, "unknown", std::string(Status.message()));
   case absl::StatusCode::kFailedPrecondition:
@@ -109,8 +104,8 @@
 OperatorFront::OperatorFront(EventLoop &Loop, const Address &At, Identity Entry,
                              const Clock &Time, const DecisionMemory &Decisions,
                              const Board &Standing, LogSink &Log)
-    : Control(Loop), Self(std::move(Entry)), TimeSource(Time),
-      Memory(Decisions), Shown(Standing), Sink(Log),
+    : Control(Loop), Self(std::move(Entry)), Checker(Self.Entry),
+      TimeSource(Time), Memory(Decisions), Shown(Standing), Sink(Log),
       Listener(Loop.context(), serverOptions(At),
                [this](http::Exchange Call) { take(std::move(Call)); }) {}
 
@@ -127,7 +122,7 @@
 }
 
 void OperatorFront::take(http::Exchange Call) {
-  if (Call.Message.path().starts_with(FleetPath)) {
+  if (Call.Message.path() == OrdersPath) {
     order(std::move(Call));
   } else if (Call.Message.Method != "GET") {
     Call.Respond(message(405, "unknown-method", "use GET"));
@@ -155,6 +150,9 @@
     return http::jsonResponse(
         200, statusPage(Self, Shown, Message.query("hosts") == "1"));
   }
+  if (Path == "/v1/plan") {
+    return plan();
+  }
   if (Path.starts_with(ExplainPath)) {
     const std::string_view Subject = Path.substr(ExplainPath.size());
     return http::jsonResponse(
@@ -163,29 +161,58 @@
   return message(404, "unknown-path", "see Help/command/balsamlatchd.md");
 }
 
+http::Response OperatorFront::plan() const {
+  const RuleSetPtr Rules = Shown.Rules.get();
+  const auto Ledger = Shown.Fleet.get().Ledger;
+  if (Rules == nullptr || Ledger == nullptr) {
+    return message(503, "unavailable", "rules or ledger are not known yet");
+  }
+  // The hosts that demand needs are known to the controller only; the plan
+  // here shows what budgets and windows allow.
+  const WallTime Now = TimeSource.wallNow();
+  boost::json::object Page =
+      fleet::planJson(*Ledger, *Rules, {}, Now, PlannedRounds);
+  Page["text"] = fleet::planText(*Ledger, *Rules, {}, Now, PlannedRounds);
+  return http::jsonResponse(200, boost::json::serialize(Page));
+}
+
+absl::StatusOr<fleet::OperatorAsked>
+OperatorFront::readOrder(const http::Request &Message) {
+  const RuleSetPtr Rules = Shown.Rules.get();
+  if (Rules == nullptr) {
+    return absl::UnavailableError(
+        "no rules are in force, so no owner is known");
+  }
+  const absl::StatusOr<wire::OwnerOrder> Order =
+      wire::decodeOrder(Message.Body);
+  if (!Order.ok()) {
+    return Order.status();
+  }
+  absl::StatusOr<OwnerName> By = Checker.check(
+      Message.Body, *Order, Message.header(wire::OwnerKeyHeader),
+      Message.header(wire::OwnerSignatureHeader), *Rules, TimeSource.wallNow());
+  if (!By.ok()) {
+    return By.status();
+  }
+  return asked(*Order, *std::move(By));
+}
+
 void OperatorFront::order(http::Exchange Call) {
-  const std::optional<fleet::OperatorVerb> Verb =
-      verbOf(Call.Message.path().substr(FleetPath.size()));
-  if (!Verb) {
-    Call.Respond(message(404, "unknown-path",
-                         "use drain, return, move, halt or resume"));
-    return;
-  }
   if (Call.Message.Method != "POST") {
     Call.Respond(message(405, "unknown-method", "use POST"));
     return;
   }
-  absl::StatusOr<fleet::OperatorAsked> Asked =
-      readOrder(*Verb, Call.Message.Body);
+  absl::StatusOr<fleet::OperatorAsked> Asked = readOrder(Call.Message);
   if (!Asked.ok()) {
+    Sink.write(LogLevel::Warning, "order-refused",
+               {{"peer", Call.Message.Peer},
+                {"fault", std::string(Asked.status().message())}});
     Call.Respond(wordAnswer(Asked.status()));
     return;
   }
   Asked->Question = NextQuestion++;
   Sink.write(LogLevel::Info, "operator-asked",
-             {{"subject", Asked->Host.Text},
-              {"verb", Call.Message.path().substr(FleetPath.size())},
-              {"by", Asked->By.Text}});
+             {{"subject", Asked->Host.Text}, {"by", Asked->By.Text}});
   const std::uint64_t Number = Asked->Question;
   if (!Ask(*std::move(Asked))) {
     Call.Respond(message(503, "unavailable", "the controller is busy"));
--- a/Source/Daemon/include/balsamlatch/Daemon/OperatorFront.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/OperatorFront.h
@@ -15,6 +15,7 @@
 #include "balsamlatch/Daemon/StatusPage.h"
 #include "balsamlatch/Fleet/Controller.h"
 #include "balsamlatch/Http/Server.h"
+#include "balsamlatch/Wire/OwnerOrder.h"
 
 #include <cstdint>
 #include <functional>
@@ -49,11 +50,14 @@
 
   void take(http::Exchange Call);
   http::Response page(const http::Request &Message) const;
+  http::Response plan() const;
+  absl::StatusOr<fleet::OperatorAsked> readOrder(const http::Request &Message);
   void order(http::Exchange Call);
   void expire();
 
   EventLoop &Control;
   const Identity Self;
+  wire::OwnerOrderChecker Checker;
   const Clock &TimeSource;
   const DecisionMemory &Memory;
   const Board &Shown;
--- a/Source/Tool/Commands.cpp
+++ b/Source/Tool/Commands.cpp
@@ -3,12 +3,15 @@
 
 #include "Command.h"
 
+#include "ExplainCommand.h"
+#include "FleetCommands.h"
 #include "HelpCommand.h"
 #include "HistoryCommands.h"
 #include "KeygenCommand.h"
 #include "ProposeCommands.h"
 #include "RulesFileCommands.h"
 #include "SignCommands.h"
+#include "StatusCommand.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -42,9 +45,11 @@
 
 const std::vector<Command> &allCommands() {
   static const std::vector<Command> All = {
-      checkCommand(),    formatCommand(), keygenCommand(), initCommand(),
-      proposeCommand(),  diffCommand(),   signCommand(),   rejectCommand(),
-      withdrawCommand(), logCommand(),    showCommand(),   rollbackCommand(),
+      checkCommand(),    formatCommand(),  keygenCommand(), initCommand(),
+      proposeCommand(),  diffCommand(),    signCommand(),   rejectCommand(),
+      withdrawCommand(), logCommand(),     showCommand(),   rollbackCommand(),
+      statusCommand(),   explainCommand(), planCommand(),   drainCommand(),
+      returnCommand(),   moveCommand(),    haltCommand(),   resumeCommand(),
       helpCommand(),
   };
   return All;
--- /dev/null
+++ b/Source/Tool/StatusCommand.h
@@ -0,0 +1,15 @@
+/// \file
+/// The command `status`: what each entry says of itself.
+
+#ifndef BALSAMLATCH_TOOL_STATUSCOMMAND_H
+#define BALSAMLATCH_TOOL_STATUSCOMMAND_H
+
+#include "Command.h"
+
+namespace balsamlatch {
+
+Command statusCommand();
+
+} // namespace balsamlatch
+
+#endif // BALSAMLATCH_TOOL_STATUSCOMMAND_H
--- a/Tests/Daemon/FleetTest.cpp
+++ b/Tests/Daemon/FleetTest.cpp
@@ -3,6 +3,8 @@
 
 #include "Harness.h"
 
+#include "balsamlatch/Wire/OwnerOrder.h"
+
 #include <atomic>
 #include <boost/json/serialize.hpp>
 #include <boost/test/unit_test.hpp>
@@ -69,8 +71,7 @@
   One.waitReady();
   Two.waitReady();
   Load Calls(One);
-  const http::Response Asked =
-      Two.fleet("drain", R"({"host":"w2","by":"first"})");
+  const http::Response Asked = Two.order("drain", "w2", Place.owners().First);
   BOOST_TEST(Asked.Status == 200U, Asked.Body);
   waitUntil([&] { return !Place.history("booted", "").empty(); });
   waitUntil([&] {
@@ -94,13 +95,11 @@
   const Site Place(Options);
   Entry One(Place.options("one"), Place.clock());
   One.waitReady();
-  BOOST_TEST(One.fleet("drain", R"({"host":"w2","by":"first"})").Status ==
-             200U);
+  BOOST_TEST(One.order("drain", "w2", Place.owners().First).Status == 200U);
   waitUntil([&] {
     return host(One, "w2").at("state").as_string() == "in-maintenance";
   });
-  const http::Response Second =
-      One.fleet("drain", R"({"host":"w7","by":"first"})");
+  const http::Response Second = One.order("drain", "w7", Place.owners().Second);
   BOOST_TEST(Second.Status == 409U, Second.Body);
   BOOST_TEST(host(One, "w7").at("state").as_string() == "in-service");
 }
@@ -108,13 +107,34 @@
 BOOST_AUTO_TEST_CASE(OrdersAreChecked) {
   const Site Place;
   Entry One(Place.options("one"), Place.clock());
+  Entry Two(Place.options("two"), Place.clock());
   One.waitReady();
-  BOOST_TEST(One.fleet("drain", "{").Status == 400U);
-  BOOST_TEST(One.fleet("drain", R"({"by":"first"})").Status == 400U);
-  BOOST_TEST(One.fleet("move", R"({"host":"w1","by":"first"})").Status == 400U);
-  BOOST_TEST(One.fleet("melt", R"({"by":"first"})").Status == 404U);
-  BOOST_TEST(One.fleet("drain", R"({"host":"no-host","by":"first"})").Status >=
-             400U);
+  Two.waitReady();
+  const PrivateKey &Owner = Place.owners().First;
+  BOOST_TEST(One.postOrder("{", {}).Status == 400U);
+  BOOST_TEST(One.order("melt", "w1", Owner).Status == 400U);
+  BOOST_TEST(One.order("drain", "", Owner).Status == 400U);
+  BOOST_TEST(One.order("move", "w1", Owner).Status == 400U);
+  BOOST_TEST(One.order("drain", "no-host", Owner).Status >= 400U);
+
+  const absl::StatusOr<PrivateKey> Stranger = PrivateKey::generate();
+  BOOST_REQUIRE(Stranger.ok());
+  BOOST_TEST(One.order("halt", "", *Stranger).Status == 401U);
+
+  wire::OwnerOrder Order;
+  Order.Verb = "halt";
+  Order.Entry = EntryName("one");
+  Order.SentAt = Place.clock().wallNow();
+  Order.Nonce = "n";
+  const std::string Body = wire::encodeOrder(Order);
+  const http::Fields Headers = {
+      {wire::OwnerKeyHeader, toHex(Owner.publicKey())},
+      {wire::OwnerSignatureHeader, toHex(wire::signOrder(Body, Owner))}};
+  BOOST_TEST(One.postOrder(Body, {}).Status == 401U);
+  BOOST_TEST(One.postOrder(Body + " ", Headers).Status == 401U);
+  BOOST_TEST(Two.postOrder(Body, Headers).Status == 401U);
+  BOOST_TEST(One.postOrder(Body, Headers).Status == 200U);
+  BOOST_TEST(One.postOrder(Body, Headers).Status == 409U);
 }
 
 BOOST_AUTO_TEST_CASE(EntriesKnowEachOther) {
--- a/Tests/Daemon/Harness.cpp
+++ b/Tests/Daemon/Harness.cpp
@@ -3,6 +3,9 @@
 
 #include "Harness.h"
 
+#include "balsamlatch/Wire/OwnerOrder.h"
+
+#include <atomic>
 #include <boost/json/parse.hpp>
 #include <boost/test/unit_test.hpp>
 #include <sstream>
@@ -42,8 +45,9 @@
   }
 }
 
-Entry::Entry(DaemonOptions Options, const Clock &TimeSource)
-    : Process(std::make_unique<Daemon>(std::move(Options), TimeSource, Sink)) {
+Entry::Entry(DaemonOptions Options, const Clock &Time)
+    : TimeSource(Time), Name(Options.Values.Entry.Text),
+      Process(std::make_unique<Daemon>(std::move(Options), Time, Sink)) {
   const absl::Status Started = Process->start();
   BOOST_REQUIRE_MESSAGE(Started.ok(), std::string(Started.message()));
 }
@@ -73,11 +77,27 @@
   return boost::json::parse(page("/v1/status?hosts=1").Body);
 }
 
-http::Response Entry::fleet(const std::string &Verb,
-                            const std::string &Body) const {
+http::Response Entry::order(const std::string &Verb, const std::string &Host,
+                            const PrivateKey &Key) const {
+  static std::atomic<unsigned> Number = 0;
+  wire::OwnerOrder Order;
+  Order.Verb = Verb;
+  Order.Host = HostName(Host);
+  Order.Entry = EntryName(Name);
+  Order.SentAt = TimeSource.wallNow();
+  Order.Nonce = std::to_string(++Number);
+  const std::string Body = wire::encodeOrder(Order);
+  return postOrder(
+      Body, {{wire::OwnerKeyHeader, toHex(Key.publicKey())},
+             {wire::OwnerSignatureHeader, toHex(wire::signOrder(Body, Key))}});
+}
+
+http::Response Entry::postOrder(const std::string &Body,
+                                http::Fields Headers) const {
   http::Request Message;
   Message.Method = "POST";
-  Message.Target = "/v1/fleet/" + Verb;
+  Message.Target = "/v1/fleet/orders";
+  Message.Headers = std::move(Headers);
   Message.Body = Body;
   return call(Process->operatorsPort(), std::move(Message));
 }
--- a/Tests/Daemon/Harness.h
+++ b/Tests/Daemon/Harness.h
@@ -43,12 +43,18 @@
   /// A page for operators.
   http::Response page(const std::string &Target) const;
   boost::json::value status() const;
-  http::Response fleet(const std::string &Verb, const std::string &Body) const;
+  /// An owner's order, signed with the key and for this entry.
+  http::Response order(const std::string &Verb, const std::string &Host,
+                       const PrivateKey &Key) const;
+  /// Posts an order with these owner's headers.
+  http::Response postOrder(const std::string &Body, http::Fields Headers) const;
 
   void waitReady() const;
 
 private:
   NullLog Sink;
+  const Clock &TimeSource;
+  const std::string Name;
   std::unique_ptr<Daemon> Process;
 };
 
@@ -68,7 +74,7 @@
   std::vector<boost::json::object> history(std::string_view Event,
                                            std::string_view Id) const;
 
-  EmbeddedPlatform &platform() { return *Platform; }
+  const OwnerPair &owners() const { return Platform->owners(); }
 
 private:
   SystemClock TimeSource;
