rules: Refuse heads whose versions have gaps

Cause: a head whose changes weren't numbered without gaps passed the parser; the tool's log would have read beyond its list. Change: parseHead refuses it; heads and base documents are mutated by a seed.

--- a/Source/Rules/ChainJson.cpp
+++ b/Source/Rules/ChainJson.cpp
@@ -238,6 +238,10 @@
   Head.KeyChanges = landedListOf(Fields, "keyChanges", Good);
   Head.Base = RulesVersion(Fields.number("base"));
   Head.Changes = landedListOf(Fields, "changes", Good);
+  std::uint64_t Version = Head.Base.Value;
+  for (const LandedChange &Landed : Head.Changes) {
+    Good = Good && Landed.Version.Value == ++Version;
+  }
   if (!Good) {
     return faulty("head document");
   }
--- a/Tests/Rules/ChainTest.cpp
+++ b/Tests/Rules/ChainTest.cpp
@@ -7,6 +7,7 @@
 #include "ChainFixture.h"
 
 #include <functional>
+#include <random>
 
 using namespace balsamlatch;
 using namespace balsamlatch::test;
@@ -198,6 +199,46 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(HeadsWithGapsAreNoHeads) {
+  const Owners Keys;
+  ChainView View = firstView(Keys);
+  for (unsigned I = 0; I < 4; ++I) {
+    View = withQuota(View, Keys, 20 + I);
+  }
+  HeadDocument Gap = View.Head;
+  Gap.Changes.erase(Gap.Changes.begin());
+  BOOST_TEST(absl::IsDataLoss(parseHead(printHead(Gap)).status()));
+  HeadDocument Twice = View.Head;
+  Twice.Changes.push_back(Twice.Changes.front());
+  BOOST_TEST(absl::IsDataLoss(parseHead(printHead(Twice)).status()));
+}
+
+BOOST_AUTO_TEST_CASE(MutatedDocumentsAreRefusedOrMeanTheSame) {
+  const Owners Keys;
+  ChainView View = firstView(Keys);
+  for (unsigned I = 0; I < 20; ++I) {
+    View = withQuota(View, Keys, 20 + I, I % 2 == 0);
+  }
+  std::mt19937 Random(11);
+  const std::string Bytes = "0189af\"{}[],:\\u \n#";
+  for (int Round = 0; Round < 600; ++Round) {
+    std::string Head = printHead(View.Head);
+    std::string Base = printBase(View.Base);
+    std::string &Text = Round % 2 == 0 ? Head : Base;
+    const std::size_t At = Random() % Text.size();
+    if (Random() % 3 == 0) {
+      Text.erase(At, Random() % 5 + 1);
+    } else {
+      Text[At] = Bytes[Random() % Bytes.size()];
+    }
+    const absl::StatusOr<ChainView> Read = viewChain(Head, Base, Keys.keys());
+    BOOST_TEST((!Read.ok() || Read->Latest.chain() == View.Latest.chain()),
+               "round " << Round);
+    BOOST_TEST((!Read.ok() || Read->Latest.text() == View.Latest.text()),
+               "round " << Round);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(OneOwnerAloneCantReplaceTheBase) {
   // Beat has the store: he makes a chain of his own text that Anna signed
   // nothing of, on top of the true first version.
