http: Accept only a certificate that names the server's address

TLS calls trusted any certificate of the authority, so that one entry's certificate could pass for another's.

--- a/Source/Http/ClientConnection.cpp
+++ b/Source/Http/ClientConnection.cpp
@@ -28,6 +28,9 @@
 
 void ClientConnection::connect(
     const Endpoint &To, std::function<void(boost::system::error_code)> Done) {
+  if (Channel.encrypted()) {
+    Channel.expectPeer(To.address().to_string());
+  }
   Channel.socket().async_connect(To, [Self = shared_from_this(),
                                       Done = std::move(Done)](auto Error) {
     if (Self->Closed) {
--- a/Source/Http/Stream.h
+++ b/Source/Http/Stream.h
@@ -6,9 +6,11 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ssl/context.hpp>
+#include <boost/asio/ssl/host_name_verification.hpp>
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/asio/write.hpp>
 #include <memory>
+#include <string>
 #include <utility>
 
 namespace balsamlatch::http {
@@ -37,6 +39,12 @@
     Secure->async_handshake(Side, std::move(Done));
   }
 
+  /// Accepts only a certificate that names this IP number; for a client,
+  /// before its handshake.
+  void expectPeer(const std::string &Ip) {
+    Secure->set_verify_callback(boost::asio::ssl::host_name_verification(Ip));
+  }
+
   template <typename Buffer, typename Handler>
   void readSome(const Buffer &Into, Handler Done) {
     if (Secure) {
--- a/Source/Http/include/balsamlatch/Http/Client.h
+++ b/Source/Http/include/balsamlatch/Http/Client.h
@@ -34,7 +34,7 @@
   Duration ConnectTimeout = std::chrono::milliseconds(500);
   Duration IdleTimeout = std::chrono::seconds(20);
   /// Speak TLS, with the authority's certificate in this PEM file; empty for
-  /// plain HTTP.
+  /// plain HTTP. A server's certificate must name its IP number.
   std::string AuthorityFile;
 };
 
