--- a/Source/Fleet/Plan.cpp
+++ b/Source/Fleet/Plan.cpp
@@ -39,21 +39,42 @@
   return Rounds;
 }
 
-/// The pool with the most rounds left first; within it by failure domain, so
-/// that one domain is finished before the next is begun.
+/// Hosts that are due in each group.
+template <typename Name>
+std::map<Name, std::uint32_t> countDue(const std::vector<Candidate> &Due,
+                                       Name HostRecord::*Group) {
+  std::map<Name, std::uint32_t> Numbers;
+  for (const Candidate Host : Due) {
+    ++Numbers[Host->second.*Group];
+  }
+  return Numbers;
+}
+
+/// The pool with the most rounds left first; within it the data centre and the
+/// rack with the most hosts left, so that the end of a wave isn't crowded into
+/// one failure domain.
 void sortByUrgency(std::vector<Candidate> &Due, const AwayCounts &Counts,
                    const RuleSet &Rules) {
-  const std::map<PoolName, std::uint32_t> Rounds =
-      roundsByPool(Due, Counts, Rules);
-  const auto Key = [&](Candidate Host) {
+  const auto Rounds = roundsByPool(Due, Counts, Rules);
+  const auto InCentre = countDue(Due, &HostRecord::DataCentre);
+  const auto InRack = countDue(Due, &HostRecord::Rack);
+  using Urgency = std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>;
+  std::vector<std::pair<Urgency, Candidate>> Keyed;
+  Keyed.reserve(Due.size());
+  for (const Candidate Host : Due) {
     const HostRecord &Record = Host->second;
-    return std::make_tuple(-static_cast<std::int64_t>(Rounds.at(Record.Pool)),
-                           std::cref(Record.DataCentre), std::cref(Record.Rack),
-                           std::cref(Host->first));
-  };
-  std::sort(Due.begin(), Due.end(), [&](Candidate One, Candidate Other) {
-    return Key(One) < Key(Other);
-  });
+    Keyed.emplace_back(Urgency(Rounds.at(Record.Pool),
+                               InCentre.at(Record.DataCentre),
+                               InRack.at(Record.Rack)),
+                       Host);
+  }
+  // Due is in the order of the names, which decides between equals.
+  std::stable_sort(Keyed.begin(), Keyed.end(),
+                   [](const auto &One, const auto &Other) {
+                     return One.first > Other.first;
+                   });
+  std::transform(Keyed.begin(), Keyed.end(), Due.begin(),
+                 [](const auto &Item) { return Item.second; });
 }
 
 std::vector<Candidate> dueHosts(const Ledger &Value, const RuleSet &Rules,
@@ -213,7 +234,7 @@
 
 std::string planText(const Ledger &Value, const RuleSet &Rules,
                      const HostsNeeded &Needed, WallTime Wall,
-                     unsigned MaxRounds) {
+                     unsigned MaxRounds, const HostWaits &Waits) {
   const FleetPlan Plan = makePlan(Value, Rules, Needed, Wall, MaxRounds);
   std::string Text;
   for (const Hindrance &Why : Plan.Blocked) {
@@ -221,9 +242,13 @@
   }
   for (const HostName &Host : Plan.Away) {
     const HostRecord &Record = Value.Hosts.at(Host);
-    Text += fmt::format("away      {:<20} {:<16} {:<15} {} {}\n", Host.Text,
+    Text += fmt::format("away      {:<20} {:<16} {:<15} {} {}", Host.Text,
                         Record.Pool.Text, stateCode(Record.State),
                         operationCode(Record.InHand.Kind), Record.InHand.Cause);
+    const auto Wait = Waits.find(Host);
+    Text += Wait == Waits.end()
+                ? std::string("\n")
+                : fmt::format("; {}\n", reasonsText({Wait->second}));
   }
   unsigned Number = 0;
   for (const std::vector<HostName> &Round : Plan.Rounds) {
@@ -242,7 +267,7 @@
 
 boost::json::object planJson(const Ledger &Value, const RuleSet &Rules,
                              const HostsNeeded &Needed, WallTime Wall,
-                             unsigned MaxRounds) {
+                             unsigned MaxRounds, const HostWaits &Waits) {
   const FleetPlan Plan = makePlan(Value, Rules, Needed, Wall, MaxRounds);
   boost::json::array Rounds;
   for (const std::vector<HostName> &Round : Plan.Rounds) {
@@ -254,8 +279,21 @@
                                           {"pool", Host.Pool.Text},
                                           {"why", reasonsJson(Host.Why)}});
   }
+  boost::json::array Away;
+  for (const HostName &Host : Plan.Away) {
+    const HostRecord &Record = Value.Hosts.at(Host);
+    const auto Wait = Waits.find(Host);
+    Away.push_back(boost::json::object{
+        {"host", Host.Text},
+        {"pool", Record.Pool.Text},
+        {"state", stateCode(Record.State)},
+        {"operation", operationCode(Record.InHand.Kind)},
+        {"cause", Record.InHand.Cause},
+        {"why", Wait == Waits.end() ? boost::json::array()
+                                    : reasonsJson({Wait->second})}});
+  }
   return {{"blocked", reasonsJson(Plan.Blocked)},
-          {"away", namesJson(Plan.Away)},
+          {"away", std::move(Away)},
           {"rounds", std::move(Rounds)},
           {"waiting", std::move(Waiting)}};
 }
