http: Free connections when a context ends without a close

Under the address sanitizer the tests of Http, Mutation and Tls leaked: a server's set and its connections, and a call and its connection, refer to each other, and a context that is stopped first never runs the close that parts them. The owners now part them when they are destroyed; all four programs of the Platform label are clean under asan.

--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -69,6 +69,16 @@
     }
   }
 
+  // A call and its connection refer to each other; a context that ends
+  // without running closeAll() would leave them so.
+  ~Impl() {
+    for (const auto &[Deadline, Waiting] : Alarms) {
+      Waiting->Carrier.reset();
+    }
+  }
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
   void start(const std::string &Ip, std::uint16_t Port,
              const std::shared_ptr<Call> &New) {
     New->Alarm = Alarms.emplace(New->Deadline, New);
@@ -226,8 +236,11 @@
         requestHead(One->Message, One->Owner->Ip, One->Owner->Port);
     One->Carrier->exchange(std::move(Head), std::move(One->Message.Body),
                            One->Message.Method == "HEAD",
-                           [Self = shared_from_this(), One](ExchangeEnd End) {
-                             Self->finish(One, std::move(End));
+                           // Weak, as the connection is this object's own.
+                           [Weak = weak_from_this(), One](ExchangeEnd End) {
+                             if (const auto Self = Weak.lock()) {
+                               Self->finish(One, std::move(End));
+                             }
                            });
   }
 
--- a/Source/Http/Server.cpp
+++ b/Source/Http/Server.cpp
@@ -10,6 +10,7 @@
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <utility>
 #include <vector>
 
 namespace balsamlatch::http {
@@ -38,6 +39,15 @@
     Set->OnRequest = std::move(OnRequest);
   }
 
+  // The set and its connections refer to each other; a context that ends
+  // without running closeAll() would leave them so.
+  ~Impl() {
+    const auto Left = std::exchange(Set->Open, {});
+    Set->Count = 0;
+  }
+  Impl(const Impl &) = delete;
+  Impl &operator=(const Impl &) = delete;
+
   absl::Status start() {
     if (absl::Status Loaded = loadCertificate(); !Loaded.ok()) {
       return Loaded;
