--- a/Tests/Histories/Injector.cpp
+++ b/Tests/Histories/Injector.cpp
@@ -121,6 +121,7 @@
 }
 
 void Injector::kill(Entry &One) {
+  Down.insert(One.Name);
   const Instant From = TimeSource.now();
   One.Running->signal(SIGKILL);
   One.Running->wait();
@@ -128,6 +129,7 @@
 }
 
 void Injector::stopGracefully(Entry &One) {
+  Down.insert(One.Name);
   for (Route &Path : Routes) {
     if (Path.Entry == One.Name) {
       Path.InRotation = false;
@@ -139,6 +141,11 @@
 }
 
 void Injector::restart(Entry &One) {
+  // Two faults may strike the same entry; the first to end starts it again.
+  if (Down.erase(One.Name) == 0) {
+    return;
+  }
+  One.Running->signal(SIGCONT);
   const int Code = One.Running->wait();
   const bool Killed =
       std::any_of(Kills.begin(), Kills.end(),
--- a/Tests/Histories/Injector.h
+++ b/Tests/Histories/Injector.h
@@ -10,6 +10,7 @@
 #include "Load.h"
 
 #include <deque>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,8 @@
   std::deque<Route> &Routes;
   const Clock &TimeSource;
   const std::vector<std::string> Workers;
+  // Entries that are killed or stopping, until they are started again.
+  std::set<std::string> Down;
   std::vector<Kill> Kills;
   std::vector<std::string> Problems;
 };
