--- a/Source/Daemon/DecisionMemory.cpp
+++ b/Source/Daemon/DecisionMemory.cpp
@@ -3,17 +3,18 @@
 
 #include "balsamlatch/Daemon/DecisionMemory.h"
 
+#include <algorithm>
+
 namespace balsamlatch::daemon {
 
 namespace {
 
 /// A long story is cut to its latest decisions.
 constexpr std::size_t MaxTold = 500;
+/// Latest decisions about requests that a host's story shows.
+constexpr std::size_t MaxRequestsTold = 20;
 
-bool concerns(const Decision &Made, std::string_view Subject) {
-  if (Made.Subject == Subject) {
-    return true;
-  }
+bool namesHost(const Decision &Made, std::string_view Subject) {
   const boost::json::value *Host = Made.Details.if_contains("host");
   return Host != nullptr && Host->is_string() && Host->get_string() == Subject;
 }
@@ -30,15 +31,18 @@
 
 std::vector<Decision> DecisionMemory::about(std::string_view Subject) const {
   std::vector<Decision> Found;
+  std::size_t Requests = 0;
   const std::lock_guard Guard(Lock);
-  for (const Decision &Made : Kept) {
-    if (concerns(Made, Subject)) {
-      Found.push_back(Made);
+  for (auto Made = Kept.rbegin(); Made != Kept.rend(); ++Made) {
+    if (Found.size() == MaxTold) {
+      break;
+    }
+    if (Made->Subject == Subject ||
+        (namesHost(*Made, Subject) && Requests++ < MaxRequestsTold)) {
+      Found.push_back(*Made);
     }
   }
-  if (Found.size() > MaxTold) {
-    Found.erase(Found.begin(), Found.end() - MaxTold);
-  }
+  std::reverse(Found.begin(), Found.end());
   return Found;
 }
 
--- a/Source/Daemon/include/balsamlatch/Daemon/DecisionMemory.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/DecisionMemory.h
@@ -42,8 +42,8 @@
   /// Keeps a decision; the oldest one goes when the memory is full.
   void add(Decision Made);
 
-  /// Decisions about the subject, oldest first. A decision about a request
-  /// whose details name the host counts for the host too.
+  /// Decisions about the subject, oldest first. A host's story has the latest
+  /// decisions about requests whose details name it, too.
   std::vector<Decision> about(std::string_view Subject) const;
 
 private:
