--- a/Source/Daemon/Embedded.cpp
+++ b/Source/Daemon/Embedded.cpp
@@ -125,7 +125,8 @@
 };
 
 EmbeddedPlatform::EmbeddedPlatform(const Clock &TimeSource,
-                                   standin::Options Options, OwnerPair Owners)
+                                   const standin::Options &Options,
+                                   OwnerPair Owners)
     : Self(std::make_unique<Impl>(TimeSource, Options, std::move(Owners))) {}
 
 EmbeddedPlatform::~EmbeddedPlatform() { stop(); }
--- a/Source/Daemon/include/balsamlatch/Daemon/Embedded.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/Embedded.h
@@ -34,7 +34,7 @@
 public:
   /// A pool's hosts, their number and where they stand, are those of
   /// firstRules().
-  EmbeddedPlatform(const Clock &TimeSource, standin::Options Options,
+  EmbeddedPlatform(const Clock &TimeSource, const standin::Options &Options,
                    OwnerPair Owners);
   ~EmbeddedPlatform();
 
