fleet: Take a host as silent when asking for its report gets no reply

Cause: nobody has the address of a host that the platform has removed, so its reports neither came nor failed and it was never lost. Change: an unanswered question counts as a fault; the fault test ends slow reboots with the other faults, its limit and checks are as before.

--- a/Source/Fleet/Controller.cpp
+++ b/Source/Fleet/Controller.cpp
@@ -299,12 +299,12 @@
   const Duration Idle = std::max<Duration>(
       IdleAskPeriod, IdleAskPeriodPerHost * Known.Hosts.size());
   for (const auto &[Host, Record] : Known.Hosts) {
-    HostFacts &Seen = Observed.host(Host);
+    const HostFacts &Seen = Observed.host(Host);
     const bool Busy = !Record.InHand.Id.empty() || Seen.SilentSince ||
                       Record.State != HostState::InService;
     const Duration Period = Busy ? BusyAskPeriod : Idle;
     if (!Seen.AskedAt || Now - *Seen.AskedAt >= Period) {
-      Seen.AskedAt = Now;
+      Observed.ask(Host, Now);
       Out.emplace_back(AskWorker{Host});
     }
   }
--- a/Source/Fleet/Facts.cpp
+++ b/Source/Fleet/Facts.cpp
@@ -7,13 +7,22 @@
 
 namespace balsamlatch::fleet {
 
+namespace {
+
+void countSilent(HostFacts &Known, Instant Now) {
+  if (!Known.SilentSince) {
+    Known.SilentSince = Now;
+  }
+  ++Known.SilentReports;
+}
+
+} // namespace
+
 void Facts::take(const WorkerSeen &Seen, Instant Now) {
   HostFacts &Known = Hosts[Seen.Host];
+  Known.HeardAt = Now;
   if (!Seen.Status.ok()) {
-    if (!Known.SilentSince) {
-      Known.SilentSince = Now;
-    }
-    ++Known.SilentReports;
+    countSilent(Known, Now);
     return;
   }
   if (Seen.Report.BootCount < Known.BootCount) {
@@ -51,6 +60,14 @@
   }
 }
 
+void Facts::ask(const HostName &Host, Instant Now) {
+  HostFacts &Known = Hosts[Host];
+  if (Known.AskedAt && Known.HeardAt < *Known.AskedAt) {
+    countSilent(Known, Now);
+  }
+  Known.AskedAt = Now;
+}
+
 bool Facts::reportedSince(const HostName &Host, Instant Since, Instant Now) {
   const HostFacts &Known = Hosts[Host];
   return Known.Report && !Known.SilentSince && Known.ReportAt >= Since &&
--- a/Source/Fleet/Facts.h
+++ b/Source/Fleet/Facts.h
@@ -21,8 +21,9 @@
   /// When the reports began to fail without a good one since.
   std::optional<Instant> SilentSince;
   unsigned SilentReports = 0;
-  /// When the report was last asked for.
+  /// When the report was last asked for, and when an answer or a fault came.
   std::optional<Instant> AskedAt;
+  Instant HeardAt{};
   /// The ledger's version of the host's state, and when it was first seen
   /// here by the monotonic clock.
   std::uint64_t StateVersion = 0;
@@ -43,6 +44,10 @@
   /// Notes since when each host has been in its present state, and forgets
   /// hosts that are gone.
   void follow(const Ledger &Value, Instant Now);
+  /// Notes that a report is asked for. If the last one has got neither an
+  /// answer nor a fault, that counts as a fault: nobody may know the host's
+  /// address any more.
+  void ask(const HostName &Host, Instant Now);
 
   HostFacts &host(const HostName &Host) { return Hosts[Host]; }
   /// Slots of a worker by the last report; the platform's usual number before.
--- a/Tests/Fleet/FaultTest.cpp
+++ b/Tests/Fleet/FaultTest.cpp
@@ -172,6 +172,7 @@
       Faults[Test.below(2) == 0 ? One : Other].Happen(Test);
       Around.run(Test.between(5s, 60s));
     }
+    Around.endSlowReboots();
     // The faults end; an owner lets the fleet go on whenever it stops.
     std::uint64_t Question = 1'000'000;
     const bool Ended = Around.runUntil(
--- a/Tests/Fleet/World.cpp
+++ b/Tests/Fleet/World.cpp
@@ -183,6 +183,12 @@
   Hosts.at(Name).NextReboot = Length;
 }
 
+void World::endSlowReboots() {
+  for (auto &[Name, Target] : Hosts) {
+    Target.NextReboot = Duration::zero();
+  }
+}
+
 void World::deafenEntry(unsigned Index, Duration Length) {
   Entries[Index].DeafUntil = Time + Length;
 }
@@ -191,6 +197,12 @@
   Entries[Index].CutUntil = Time + Length;
 }
 
+void World::remove(const HostName &Name) {
+  Host &Target = Hosts.at(Name);
+  Target.Up = false;
+  Target.Removed = true;
+}
+
 void World::muteWorker(const HostName &Name, Duration Length) {
   Hosts.at(Name).MuteUntil = Time + Length;
 }
--- a/Tests/Fleet/World.h
+++ b/Tests/Fleet/World.h
@@ -62,12 +62,16 @@
   void forgetDrain(const HostName &Name) { Hosts.at(Name).Draining = false; }
   /// The next reboot of the host takes this long.
   void slowReboot(const HostName &Host, Duration Length);
+  /// No reboot that begins from now on is slow.
+  void endSlowReboots();
   /// The entry learns no ledger; its heartbeats go on.
   void deafenEntry(unsigned Index, Duration Length);
   /// The entry learns no ledger and sends no heartbeats.
   void cutEntry(unsigned Index, Duration Length);
   /// The controller's process ends and a new one begins.
   void restartController(unsigned Index);
+  /// The platform takes the host away for good: nobody has its address.
+  void remove(const HostName &Host);
   void muteWorker(const HostName &Host, Duration Length);
   /// @}
 
@@ -112,6 +116,7 @@
   struct Host {
     HostRecord Home;
     bool Up = true;
+    bool Removed = false;
     Instant DownUntil{};
     bool Draining = false;
     std::uint64_t BootCount = 1;
--- a/Tests/Fleet/WorldPlatform.cpp
+++ b/Tests/Fleet/WorldPlatform.cpp
@@ -152,6 +152,9 @@
 
 void World::report(unsigned Index, const HostName &Name) {
   const Host &Target = Hosts.at(Name);
+  if (Target.Removed) {
+    return;
+  }
   WorkerSeen Seen;
   Seen.Host = Name;
   if (!Target.Up || Time < Target.MuteUntil) {
@@ -215,6 +218,9 @@
   Listing.Generation =
       static_cast<std::uint64_t>(Time.time_since_epoch().count());
   for (const auto &[Name, Target] : Hosts) {
+    if (Target.Removed) {
+      continue;
+    }
     Listing.Hosts.push_back({Name,
                              HostRole::Worker,
                              HostPresence::Live,
--- a/Tests/Fleet/WorldTest.cpp
+++ b/Tests/Fleet/WorldTest.cpp
@@ -268,3 +268,12 @@
   BOOST_TEST(Around.runUntil([&] { return Members("p4") == 10u; }, 60min));
   checkClean(Around);
 }
+
+BOOST_AUTO_TEST_CASE(ARemovedHostIsForgotten) {
+  Started Test;
+  Test.Around.remove(First);
+  BOOST_TEST(Test.reaches(First, HostState::Failed, 60s));
+  BOOST_TEST(Test.Around.runUntil(
+      [&] { return !Test.Around.ledger().Hosts.contains(First); }, 15min));
+  checkClean(Test.Around);
+}
