--- a/Source/Fleet/Controller.cpp
+++ b/Source/Fleet/Controller.cpp
@@ -60,6 +60,7 @@
   const Ledger &ledger() const { return Known; }
   std::uint64_t version() const { return KnownVersion; }
   const HostWaits &waits() const { return Waits; }
+  const HostsNeeded &needed() const { return Needed; }
   bool leads() const { return Lease.holds(Now); }
 
 private:
@@ -342,6 +343,7 @@
 const Ledger &Controller::ledger() const { return Self->ledger(); }
 std::uint64_t Controller::ledgerVersion() const { return Self->version(); }
 const HostWaits &Controller::waits() const { return Self->waits(); }
+const HostsNeeded &Controller::needed() const { return Self->needed(); }
 bool Controller::leads() const { return Self->leads(); }
 
 } // namespace balsamlatch::fleet
--- a/Source/Fleet/include/balsamlatch/Fleet/Controller.h
+++ b/Source/Fleet/include/balsamlatch/Fleet/Controller.h
@@ -160,6 +160,9 @@
   /// recovery waits for. Empty unless this controller leads.
   const HostWaits &waits() const;
 
+  /// Hosts that each pool's lasting demand takes, for the plan.
+  const HostsNeeded &needed() const;
+
   /// Whether this controller believes that it holds the lease.
   bool leads() const;
 
