placement: Write claims in fewer shards, and ends less often

Cause: under bursts of keyed requests a claim waited seconds for its turn in the entry's store call rate, and the request came late. Change: 8 shards instead of 16, 50 calls a second instead of 40, ends wait 2 s for a claim to be written along with.

--- a/Source/Placement/include/balsamlatch/Placement/ClaimKeeper.h
+++ b/Source/Placement/include/balsamlatch/Placement/ClaimKeeper.h
@@ -24,17 +24,17 @@
   /// Prefix of the shards' keys in the store.
   std::string KeyPrefix = "claims/";
   /// Must be the same in every entry.
-  std::uint32_t Shards = 16;
-  std::size_t MaxShardBytes = 256'000;
+  std::uint32_t Shards = 8;
+  std::size_t MaxShardBytes = 500'000;
   /// How long after its last possible run a key is remembered.
   Duration RepeatWindow = std::chrono::minutes(10);
   /// Most difference between the calendar clocks of two entries.
   Duration ClockSkew = std::chrono::minutes(1);
   /// Store calls a second that this entry makes for claims at most.
-  double CallsPerSecond = 40;
+  double CallsPerSecond = 50;
   Duration CallTimeout = std::chrono::milliseconds(500);
   /// Ends of requests wait this long for a claim to be written along with.
-  Duration EndDelay = std::chrono::milliseconds(500);
+  Duration EndDelay = std::chrono::seconds(2);
 };
 
 /// A call that the shell makes; the reply is handed back with the ticket.
--- a/Tests/Placement/ClaimKeeperTest.cpp
+++ b/Tests/Placement/ClaimKeeperTest.cpp
@@ -121,7 +121,7 @@
   A.serve(StoreFault::AnswerLost);
   A.pass(3s);
   BOOST_TEST((A.result("a1") == ClaimResult::Unavailable));
-  A.pass(1s);
+  A.pass(3s);
   A.settleAll();
   B.claim("b1", "key");
   B.settleAll();
@@ -137,7 +137,7 @@
   A.settleAll();
   A.take(A.Keeper.ended(RequestId("a1"), Outcome::Answered, A.Time));
   A.take(A.Keeper.ended(RequestId("a2"), Outcome::NotRun, A.Time));
-  A.pass(1s);
+  A.pass(3s);
   A.settleAll();
   B.claim("b1", "answered");
   B.claim("b2", "not-run");
