--- a/Utilities/Bench/PlacementBench.cpp
+++ b/Utilities/Bench/PlacementBench.cpp
@@ -189,7 +189,7 @@
       Running.push_back(Started);
     }
   };
-  while (Running.size() < Workers * 4) {
+  while (Running.size() < std::size_t(Workers) * 4) {
     Step();
   }
   std::size_t Oldest = 0;
