--- a/Source/Tool/Commands.cpp
+++ b/Source/Tool/Commands.cpp
@@ -3,6 +3,8 @@
 
 #include "Command.h"
 
+#include "ExplainCommand.h"
+#include "FleetCommands.h"
 #include "HelpCommand.h"
 #include "HistoryCommands.h"
 #include "KeygenCommand.h"
@@ -10,6 +12,7 @@
 #include "ReplayCommand.h"
 #include "RulesFileCommands.h"
 #include "SignCommands.h"
+#include "StatusCommand.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -43,9 +46,11 @@
 
 const std::vector<Command> &allCommands() {
   static const std::vector<Command> All = {
-      checkCommand(),    formatCommand(), keygenCommand(), initCommand(),
-      proposeCommand(),  diffCommand(),   signCommand(),   rejectCommand(),
-      withdrawCommand(), logCommand(),    showCommand(),   rollbackCommand(),
+      checkCommand(),    formatCommand(),  keygenCommand(), initCommand(),
+      proposeCommand(),  diffCommand(),    signCommand(),   rejectCommand(),
+      withdrawCommand(), logCommand(),     showCommand(),   rollbackCommand(),
+      statusCommand(),   explainCommand(), planCommand(),   drainCommand(),
+      returnCommand(),   moveCommand(),    haltCommand(),   resumeCommand(),
       replayCommand(),   helpCommand(),
   };
   return All;
