--- a/Source/Tool/Commands.cpp
+++ b/Source/Tool/Commands.cpp
@@ -9,6 +9,7 @@
 #include "HistoryCommands.h"
 #include "KeygenCommand.h"
 #include "ProposeCommands.h"
+#include "ReplayCommand.h"
 #include "RulesFileCommands.h"
 #include "SignCommands.h"
 #include "StatusCommand.h"
@@ -50,7 +51,7 @@
       withdrawCommand(), logCommand(),     showCommand(),   rollbackCommand(),
       statusCommand(),   explainCommand(), planCommand(),   drainCommand(),
       returnCommand(),   moveCommand(),    haltCommand(),   resumeCommand(),
-      helpCommand(),
+      replayCommand(),   helpCommand(),
   };
   return All;
 }
--- a/Utilities/Bench/PlacementBench.cpp
+++ b/Utilities/Bench/PlacementBench.cpp
@@ -68,7 +68,7 @@
     std::uint64_t Refused = 0;
     std::uint64_t Buffer = 0;
     std::uint64_t Messages = 0;
-    for (std::uint64_t Seed = 1; Seed <= 3; ++Seed) {
+    for (std::uint64_t Seed = 1; Seed <= 2; ++Seed) {
       replay::LoadShape Shape;
       Shape.Seed = Seed;
       Shape.Length = 40s;
@@ -100,7 +100,7 @@
 
 void benchBadWorker(const RuleSetPtr &Rules, replay::FaultKind Kind) {
   replay::LoadShape Shape;
-  Shape.Length = 120s;
+  Shape.Length = 60s;
   std::vector<replay::TraceLine> Lines = replay::generate(*Rules, Shape);
   const HostName Bad("quotes-1");
   Lines.push_back({Instant(1s), replay::TraceFault{Kind, Bad.Text, 600s, 1}});
@@ -189,7 +189,7 @@
       Running.push_back(Started);
     }
   };
-  while (Running.size() < Workers * 4) {
+  while (Running.size() < std::size_t(Workers) * 4) {
     Step();
   }
   std::size_t Oldest = 0;
