platform: Send the host list only when it changed

Cause: each entry asks for the list every second; at 1,500 hosts of about 150 bytes that is 225 KB/s against a budget of 4 KB/s. Change: the question names the generation that is known (If-None-Match), and an unchanged list comes back without hosts.

--- a/Source/Daemon/StoreLink.cpp
+++ b/Source/Daemon/StoreLink.cpp
@@ -57,12 +57,19 @@
     return;
   }
   Open = true;
-  Platform.list([this](absl::StatusOr<HostListing> Listing) {
-    StoreLoop.post([this] { Open = false; });
-    if (Listing.ok()) {
-      Seen(*std::move(Listing));
-    }
+  Platform.list(Generation, [this](absl::StatusOr<HostListing> Listing) {
+    StoreLoop.post([this, Taken = std::move(Listing)]() mutable {
+      Open = false;
+      take(std::move(Taken));
+    });
   });
 }
 
+void ListingPoll::take(absl::StatusOr<HostListing> Listing) {
+  if (Listing.ok() && Listing->Generation > Generation) {
+    Generation = Listing->Generation;
+    Seen(*std::move(Listing));
+  }
+}
+
 } // namespace balsamlatch::daemon
--- a/Source/Daemon/include/balsamlatch/Daemon/StoreLink.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/StoreLink.h
@@ -34,7 +34,8 @@
   std::atomic<std::size_t> Open = 0;
 };
 
-/// Asks the platform for its list of hosts again and again.
+/// Asks the platform for its list of hosts again and again, and hands on each
+/// newer one.
 class ListingPoll {
 public:
   ListingPoll(EventLoop &StoreLoop, HostPlatform &Platform,
@@ -44,10 +45,13 @@
 
 private:
   void ask();
+  void take(absl::StatusOr<HostListing> Listing);
 
   EventLoop &StoreLoop;
   HostPlatform &Platform;
   std::function<void(HostListing)> Seen;
+  /// Generation of the last listing; 0: none yet.
+  std::uint64_t Generation = 0;
   // Invariant: at most one question is open.
   bool Open = false;
 };
--- a/Source/Platform/HttpHostPlatform.cpp
+++ b/Source/Platform/HttpHostPlatform.cpp
@@ -10,10 +10,14 @@
 
 namespace {
 
-absl::StatusOr<HostListing> listingOf(const http::Outcome &Outcome) {
+absl::StatusOr<HostListing> listingOf(const http::Outcome &Outcome,
+                                      std::uint64_t KnownGeneration) {
   if (absl::Status Effect = effectOf(Outcome); !Effect.ok()) {
     return Effect;
   }
+  if (Outcome.Answer.Status == HttpNotModified) {
+    return HostListing{KnownGeneration, {}};
+  }
   if (Outcome.Answer.Status != HttpOk) {
     return strangeAnswer(Outcome.Answer);
   }
@@ -42,12 +46,17 @@
                                    Options Wanted)
     : Client(Caller), At(std::move(Where)), Settings(Wanted) {}
 
-void HttpHostPlatform::list(ListCallback Done) {
-  Client.call(At.Ip, At.Port, {"GET", std::string(HostsPath), {}, "", ""},
-              Settings.Timeout,
-              [Done = std::move(Done)](const http::Outcome &Outcome) {
-                Done(listingOf(Outcome));
-              });
+void HttpHostPlatform::list(std::uint64_t KnownGeneration, ListCallback Done) {
+  http::Request Asked;
+  Asked.Target = std::string(HostsPath);
+  if (KnownGeneration > 0) {
+    Asked.Headers["if-none-match"] = std::to_string(KnownGeneration);
+  }
+  Client.call(
+      At.Ip, At.Port, std::move(Asked), Settings.Timeout,
+      [Done = std::move(Done), KnownGeneration](const http::Outcome &Outcome) {
+        Done(listingOf(Outcome, KnownGeneration));
+      });
 }
 
 void HttpHostPlatform::order(HostOrder Order, OrderCallback Done) {
--- a/Source/Platform/Statuses.h
+++ b/Source/Platform/Statuses.h
@@ -11,6 +11,7 @@
 namespace balsamlatch {
 
 inline constexpr unsigned HttpOk = 200;
+inline constexpr unsigned HttpNotModified = 304;
 inline constexpr unsigned HttpNotFound = 404;
 inline constexpr unsigned HttpConflict = 409;
 inline constexpr unsigned HttpServiceUnavailable = 503;
--- a/Source/Platform/include/balsamlatch/Platform/HostList.h
+++ b/Source/Platform/include/balsamlatch/Platform/HostList.h
@@ -84,7 +84,9 @@
 
   virtual ~HostPlatform() = default;
 
-  virtual void list(ListCallback Done) = 0;
+  /// Asks for the list if it is newer than \p KnownGeneration; 0 knows none.
+  /// A listing of the known generation comes without hosts: nothing changed.
+  virtual void list(std::uint64_t KnownGeneration, ListCallback Done) = 0;
 
   /// Gives an order. DeadlineExceeded means it may have taken effect; it can
   /// be repeated with the same operation identifier.
--- a/Source/Platform/include/balsamlatch/Platform/HttpHostPlatform.h
+++ b/Source/Platform/include/balsamlatch/Platform/HttpHostPlatform.h
@@ -24,7 +24,7 @@
   HttpHostPlatform(http::Client &Caller, Address Where)
       : HttpHostPlatform(Caller, std::move(Where), Options()) {}
 
-  void list(ListCallback Done) override;
+  void list(std::uint64_t KnownGeneration, ListCallback Done) override;
   void order(HostOrder Order, OrderCallback Done) override;
 
 private:
--- a/Source/StandIn/StandInPlatform.cpp
+++ b/Source/StandIn/StandInPlatform.cpp
@@ -159,10 +159,17 @@
 
   void serveList(const http::Exchange &Exchange) {
     ++ListCalls;
-    underFaults(ListFaults, Exchange, [this, Respond = Exchange.Respond] {
-      Respond(http::jsonResponse(
-          200, encodeListing(Listings.at(Env.TimeSource.now(), ListLag))));
-    });
+    const std::string Known(Exchange.Message.header("if-none-match"));
+    underFaults(ListFaults, Exchange,
+                [this, Respond = Exchange.Respond, Known] {
+                  const HostListing &Current =
+                      Listings.at(Env.TimeSource.now(), ListLag);
+                  if (Known == std::to_string(Current.Generation)) {
+                    Respond(http::Response{304, {}, {}});
+                  } else {
+                    Respond(http::jsonResponse(200, encodeListing(Current)));
+                  }
+                });
   }
 
   void serveOrder(const http::Exchange &Exchange) {
--- a/Tests/Platform/PlatformTest.cpp
+++ b/Tests/Platform/PlatformTest.cpp
@@ -56,9 +56,9 @@
     return On.await<absl::Status>([&](auto Done) { Hosts.order(Order, Done); });
   }
 
-  HostListing list() {
+  HostListing list(std::uint64_t Known = 0) {
     return *On.await<absl::StatusOr<HostListing>>(
-        [&](auto Done) { Hosts.list(Done); });
+        [&](auto Done) { Hosts.list(Known, Done); });
   }
 
   Address first() {
@@ -224,6 +224,18 @@
   BOOST_TEST(On.list().Hosts.size() == 4U);
 }
 
+BOOST_AUTO_TEST_CASE(AKnownListIsNotSentAgain) {
+  Bench On;
+  const HostListing First = On.list();
+  const HostListing Again = On.list(First.Generation);
+  BOOST_TEST(Again.Generation == First.Generation);
+  BOOST_TEST(Again.Hosts.empty());
+  BOOST_TEST(On.order(HostOrderKind::Drain, "o1").ok());
+  const HostListing Newer = On.list(First.Generation);
+  BOOST_TEST(Newer.Generation > First.Generation);
+  BOOST_TEST(Newer.Hosts.size() == First.Hosts.size());
+}
+
 BOOST_AUTO_TEST_CASE(AHealthyWorkerAnswersAndEchoes) {
   Bench On;
   const TaskResult Got = On.run("r/1", R"({"run_ms":1,"echo":[7]})");
