--- a/Source/Fleet/Controller.cpp
+++ b/Source/Fleet/Controller.cpp
@@ -60,6 +60,7 @@
   const Ledger &ledger() const { return Known; }
   std::uint64_t version() const { return KnownVersion; }
   const HostWaits &waits() const { return Waits; }
+  const HostsNeeded &needed() const { return Needed; }
   bool leads() const { return Lease.holds(Now); }
 
 private:
@@ -299,12 +300,12 @@
   const Duration Idle = std::max<Duration>(
       IdleAskPeriod, IdleAskPeriodPerHost * Known.Hosts.size());
   for (const auto &[Host, Record] : Known.Hosts) {
-    HostFacts &Seen = Observed.host(Host);
+    const HostFacts &Seen = Observed.host(Host);
     const bool Busy = !Record.InHand.Id.empty() || Seen.SilentSince ||
                       Record.State != HostState::InService;
     const Duration Period = Busy ? BusyAskPeriod : Idle;
     if (!Seen.AskedAt || Now - *Seen.AskedAt >= Period) {
-      Seen.AskedAt = Now;
+      Observed.ask(Host, Now);
       Out.emplace_back(AskWorker{Host});
     }
   }
@@ -342,6 +343,7 @@
 const Ledger &Controller::ledger() const { return Self->ledger(); }
 std::uint64_t Controller::ledgerVersion() const { return Self->version(); }
 const HostWaits &Controller::waits() const { return Self->waits(); }
+const HostsNeeded &Controller::needed() const { return Self->needed(); }
 bool Controller::leads() const { return Self->leads(); }
 
 } // namespace balsamlatch::fleet
