--- a/Tests/Daemon/Harness.cpp
+++ b/Tests/Daemon/Harness.cpp
@@ -106,11 +106,11 @@
   waitUntil([this] { return Process->ready(); });
 }
 
-Site::Site(standin::Options Options) {
+Site::Site(const standin::Options &Options) {
   absl::StatusOr<OwnerPair> Owners = newOwners();
   BOOST_REQUIRE(Owners.ok());
   const std::string Rules = firstRules(*Owners);
-  Platform = std::make_unique<EmbeddedPlatform>(TimeSource, std::move(Options),
+  Platform = std::make_unique<EmbeddedPlatform>(TimeSource, Options,
                                                 *std::move(Owners));
   const absl::Status Started = Platform->start(Rules);
   BOOST_REQUIRE_MESSAGE(Started.ok(), std::string(Started.message()));
@@ -127,7 +127,8 @@
   Message.Method = "POST";
   Message.Target = "/control/faults";
   Message.Body = Body;
-  BOOST_REQUIRE_EQUAL(call(Platform->port(), std::move(Message)).Status, 200U);
+  const http::Response Answer = call(Platform->port(), std::move(Message));
+  BOOST_REQUIRE_EQUAL(Answer.Status, 200U);
 }
 
 std::vector<boost::json::object> Site::history(std::string_view Event,
--- a/Tests/Daemon/Harness.h
+++ b/Tests/Daemon/Harness.h
@@ -62,7 +62,7 @@
 class Site {
 public:
   /// \p RulesText empty: firstRules().
-  explicit Site(standin::Options Options = firstPlatform());
+  explicit Site(const standin::Options &Options = firstPlatform());
 
   const Clock &clock() const { return TimeSource; }
   DaemonOptions options(const std::string &Name) const;
