placement: Keep from all entries what two of them avoid

Cause: each of eight entries learned of a bad worker by itself, and it got 1.55 % of its pool's orders after ten failures in a trace of 60 s. Change: the scheduler grants no slot on a host that two askers avoid, as long as such hosts are at most a third of the pool.

--- a/Source/Placement/SlotScheduler.cpp
+++ b/Source/Placement/SlotScheduler.cpp
@@ -18,6 +18,8 @@
 constexpr Duration EntryForgottenAfter = std::chrono::seconds(3);
 constexpr Duration PeakHalfLife = std::chrono::minutes(2);
 constexpr std::uint32_t PromptGrantsPerPatient = 15;
+constexpr std::uint32_t AvoidersForAll = 2;
+constexpr std::size_t MostAvoidedDivisor = 3;
 constexpr std::uint32_t Percent = 100;
 
 std::uint64_t fnv1a(const std::string &Text, std::uint64_t Hash) {
@@ -129,6 +131,7 @@
     drop(Grant.Host, Grant.Slots);
   }
   uncount(Who, Gone);
+  noteAvoided(Gone, {});
 }
 
 void SlotScheduler::setEntries(const std::vector<EntryName> &Live) {
@@ -189,6 +192,7 @@
     setHold(A, Host, Slots);
   }
   A.Sequence = Ask.Sequence;
+  noteAvoided(A, Ask.Avoid);
   A.Avoid = Ask.Avoid;
   A.At = Now;
   A.Deadline = Now + Ask.EarliestDeadline;
@@ -304,10 +308,32 @@
   return Best;
 }
 
+void SlotScheduler::noteAvoided(const Asker &A,
+                                const std::vector<HostName> &Avoid) {
+  for (const HostName &Host : A.Avoid) {
+    const auto Found = Avoiders.find(Host);
+    if (Found != Avoiders.end() && --Found->second == 0) {
+      Avoiders.erase(Found);
+    }
+  }
+  for (const HostName &Host : Avoid) {
+    ++Avoiders[Host];
+  }
+}
+
+/// What several askers avoid is kept from all, so that not each of them has
+/// to learn it; never more than a part of the pool.
+bool SlotScheduler::avoidedByAll(const HostName &Host) const {
+  const auto Found = Avoiders.find(Host);
+  return Found != Avoiders.end() && Found->second >= AvoidersForAll &&
+         Avoiders.size() * MostAvoidedDivisor <= Workers.size();
+}
+
 const HostName *SlotScheduler::pick(const Asker &A) const {
   for (const Rank &R : Open) {
     const HostName &Host = std::get<HostName>(R);
-    if (std::find(A.Avoid.begin(), A.Avoid.end(), Host) == A.Avoid.end()) {
+    if (!avoidedByAll(Host) &&
+        std::find(A.Avoid.begin(), A.Avoid.end(), Host) == A.Avoid.end()) {
       return &Host;
     }
   }
--- a/Source/Placement/include/balsamlatch/Placement/SlotScheduler.h
+++ b/Source/Placement/include/balsamlatch/Placement/SlotScheduler.h
@@ -117,6 +117,8 @@
   void notePeak(Instant Now);
   bool spillAllowed(const PoolName &For) const;
   const HostName *pick(const Asker &A) const;
+  void noteAvoided(const Asker &A, const std::vector<HostName> &Avoid);
+  bool avoidedByAll(const HostName &Host) const;
   void distribute(Instant Now, Grants &Out);
   void grant(const AskerId &Who, Asker &A, JobClass Class, const HostName &Host,
              Instant Now, Grants &Out);
@@ -127,6 +129,8 @@
   std::unordered_map<HostName, Worker> Workers;
   // Invariant: exactly the known workers with a free slot.
   std::set<Rank> Open;
+  // How many askers avoid each host.
+  std::map<HostName, std::uint32_t> Avoiders;
   // Slots held for each pool.
   std::map<PoolName, std::uint32_t> HeldFor;
   std::uint32_t PatientHeld = 0;
--- a/Tests/Placement/PartsTest.cpp
+++ b/Tests/Placement/PartsTest.cpp
@@ -254,6 +254,23 @@
       slotsFor(Scheduler.asked(EntryName("b"), Other, Instant(1s)), "b") == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(WhatTwoEntriesAvoidIsGrantedToNoneButAPartOnly) {
+  SlotScheduler Scheduler(Pool);
+  Scheduler.setWorkers({{host(1), 2}, {host(2), 2}, {host(3), 2}});
+  SlotAsk Wary = askOf(1, 0);
+  Wary.Avoid = {host(1)};
+  Scheduler.asked(EntryName("a"), Wary, Instant(1s));
+  Scheduler.asked(EntryName("b"), Wary, Instant(1s));
+  BOOST_TEST(slotsFor(Scheduler.asked(EntryName("c"), askOf(1, 9), Instant(1s)),
+                      "c") == 4U);
+  // Two of three hosts are more than a third: each entry keeps to its own.
+  SlotAsk Warier = askOf(2, 0);
+  Warier.Avoid = {host(1), host(2)};
+  Scheduler.asked(EntryName("a"), Warier, Instant(1s));
+  const auto Later = Scheduler.asked(EntryName("d"), askOf(1, 9), Instant(1s));
+  BOOST_TEST(slotsFor(Later, "d") == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ALapsedGrantIsNeverUsed) {
   SlotHolder Holder(Pool, Pool);
   Holder.setScheduler(EntryName("a"));
