--- a/Source/Membership/Exchange.cpp
+++ b/Source/Membership/Exchange.cpp
@@ -32,8 +32,8 @@
   for (auto &[Key, S] : States) {
     const std::vector<EntryName> Watchers =
         rendezvousPick(Key, SameDataCentre, Options.WatchersPerDataCentre);
-    S.Watcher = std::find(Watchers.begin(), Watchers.end(), Options.Self.Entry) !=
-                Watchers.end();
+    S.Watcher = std::find(Watchers.begin(), Watchers.end(),
+                          Options.Self.Entry) != Watchers.end();
     S.Pushes = !Watchers.empty() && Watchers.front() == Options.Self.Entry;
   }
   openWatches(Now, Step);
@@ -121,7 +121,8 @@
 ExchangeStep Exchange::adopted(const Document &InForce, Instant Now) {
   ExchangeStep Step;
   const auto Found = States.find(InForce.Key);
-  if (Found == States.end() || InForce.Version <= Found->second.InForce.Version) {
+  if (Found == States.end() ||
+      InForce.Version <= Found->second.InForce.Version) {
     return Step;
   }
   State &S = Found->second;
@@ -176,9 +177,9 @@
 }
 
 const Member *Exchange::member(const EntryName &Entry) const {
-  const auto Found = std::find_if(Live.begin(), Live.end(), [&](const Member &M) {
-    return M.Entry == Entry;
-  });
+  const auto Found =
+      std::find_if(Live.begin(), Live.end(),
+                   [&](const Member &M) { return M.Entry == Entry; });
   return Found == Live.end() ? nullptr : &*Found;
 }
 
--- a/Source/Membership/Group.cpp
+++ b/Source/Membership/Group.cpp
@@ -162,9 +162,9 @@
 void Group::spread(const EntryName &Entry) {
   const unsigned Sends =
       SpreadFactor * static_cast<unsigned>(std::bit_width(Peers.size() + 1));
-  const auto Found = std::find_if(News.begin(), News.end(), [&](const NewsItem &N) {
-    return N.Entry == Entry;
-  });
+  const auto Found =
+      std::find_if(News.begin(), News.end(),
+                   [&](const NewsItem &N) { return N.Entry == Entry; });
   if (Found != News.end()) {
     News.erase(Found);
   }
@@ -253,7 +253,8 @@
   for (auto It = Pending.begin(); It != Pending.end();) {
     PendingProbe &Wait = It->second;
     const Duration Age = Now - Wait.SentAt;
-    if (!Wait.AskedOthers && Wait.OnBehalfOf.empty() && Age >= Options.AckTimeout) {
+    if (!Wait.AskedOthers && Wait.OnBehalfOf.empty() &&
+        Age >= Options.AckTimeout) {
       Wait.AskedOthers = true;
       askOthers(It->first, Wait, Step);
     }
--- a/Source/Membership/Rendezvous.cpp
+++ b/Source/Membership/Rendezvous.cpp
@@ -36,7 +36,8 @@
 
 } // namespace
 
-std::uint64_t rendezvousWeight(std::string_view Subject, std::string_view Entry) {
+std::uint64_t rendezvousWeight(std::string_view Subject,
+                               std::string_view Entry) {
   const std::uint64_t First = digest(Subject, FnvOffset);
   return mix(digest(Entry, digest("\n", First)));
 }
@@ -54,8 +55,8 @@
   const auto Better = [](const Candidate &A, const Candidate &B) {
     return A.Weight != B.Weight ? A.Weight > B.Weight : A.Entry < B.Entry;
   };
-  std::partial_sort(Candidates.begin(), Candidates.begin() + Kept, Candidates.end(),
-                    Better);
+  std::partial_sort(Candidates.begin(), Candidates.begin() + Kept,
+                    Candidates.end(), Better);
   std::vector<EntryName> Picked;
   Picked.reserve(Kept);
   for (std::size_t I = 0; I < Kept; ++I) {
--- a/Source/Wire/include/balsamlatch/Wire/JsonReader.h
+++ b/Source/Wire/include/balsamlatch/Wire/JsonReader.h
@@ -30,7 +30,8 @@
     if constexpr (std::numeric_limits<T>::is_signed) {
       return static_cast<T>(signedNumber(Name));
     } else {
-      return static_cast<T>(unsignedNumber(Name, std::numeric_limits<T>::max()));
+      return static_cast<T>(
+          unsignedNumber(Name, std::numeric_limits<T>::max()));
     }
   }
 
@@ -44,10 +45,12 @@
   std::vector<std::pair<std::string, std::uint64_t>> numbers();
 
   /// An array of [text, number] pairs.
-  std::vector<std::pair<std::string, std::uint32_t>> pairs(std::string_view Name);
+  std::vector<std::pair<std::string, std::uint32_t>>
+  pairs(std::string_view Name);
 
 private:
-  const boost::json::value *member(std::string_view Name, std::string_view Wanted);
+  const boost::json::value *member(std::string_view Name,
+                                   std::string_view Wanted);
   std::uint64_t unsignedNumber(std::string_view Name, std::uint64_t Most);
   std::int64_t signedNumber(std::string_view Name);
   void fail(std::string_view Name, std::string_view Wanted);
--- a/Tests/Membership/ExchangeTest.cpp
+++ b/Tests/Membership/ExchangeTest.cpp
@@ -112,7 +112,8 @@
                        Key, {absl::UnavailableError("down"), {}}, Now));
       } else if (Stored.Version > W.Call.Request.AfterVersion ||
                  Now - W.Since >= W.Call.Request.Wait) {
-        take(W.Of, Nodes[W.Of].State->watched(Key, {absl::OkStatus(), Stored}, Now));
+        take(W.Of,
+             Nodes[W.Of].State->watched(Key, {absl::OkStatus(), Stored}, Now));
       } else {
         Watches.push_back(W);
       }
@@ -125,7 +126,8 @@
     for (const auto &[From, O] : Due) {
       for (std::size_t I = 0; I < Nodes.size(); ++I) {
         if (Nodes[I].Self.Entry == O.To) {
-          take(I, Nodes[I].State->receive(Nodes[From].Self.Entry, O.Content, Now));
+          take(I,
+               Nodes[I].State->receive(Nodes[From].Self.Entry, O.Content, Now));
         }
       }
     }
--- a/Tests/Membership/GroupTest.cpp
+++ b/Tests/Membership/GroupTest.cpp
@@ -78,7 +78,8 @@
   }
 
   /// Runs until the condition holds and returns how long it took, or nothing.
-  std::optional<Duration> until(const std::function<bool()> &Holds, Duration Most) {
+  std::optional<Duration> until(const std::function<bool()> &Holds,
+                                Duration Most) {
     const Instant Start = Now;
     while (!Holds()) {
       if (Now - Start > Most) {
@@ -110,8 +111,11 @@
   };
 
   static Member member(const std::string &Name, std::uint64_t Incarnation) {
-    return {EntryName(Name), {"127.0.0.1", 7000}, DataCentreName("north"),
-            Incarnation, MemberState::Alive};
+    return {EntryName(Name),
+            {"127.0.0.1", 7000},
+            DataCentreName("north"),
+            Incarnation,
+            MemberState::Alive};
   }
 
   void take(const EntryName &From, GroupStep Step) {
@@ -172,7 +176,8 @@
 BOOST_AUTO_TEST_CASE(OneCutLinkDoesNotTakeAnEntryOut) {
   Network Net(9);
   Net.Cut = [](const EntryName &A, const EntryName &B) {
-    return (A.Text == "e1" && B.Text == "e2") || (A.Text == "e2" && B.Text == "e1");
+    return (A.Text == "e1" && B.Text == "e2") ||
+           (A.Text == "e2" && B.Text == "e1");
   };
   Net.run(60s);
   BOOST_TEST(Net.allSee(9));
@@ -250,7 +255,8 @@
     const std::size_t Before = Net.MessagesSent;
     Net.run(Window);
     const std::size_t Sent = Net.MessagesSent - Before;
-    BOOST_TEST(Sent <= MostPerEntrySecond * 10 * static_cast<std::size_t>(Count));
+    BOOST_TEST(Sent <=
+               MostPerEntrySecond * 10 * static_cast<std::size_t>(Count));
     BOOST_TEST(Net.allSee(static_cast<std::size_t>(Count)));
   }
 }
