--- a/Source/Daemon/CallerFront.cpp
+++ b/Source/Daemon/CallerFront.cpp
@@ -46,10 +46,7 @@
   InForce = std::move(WhenInForce);
 }
 
-absl::Status CallerFront::start() {
-  Network.every(OverflowRetry, [this] { flushOverflow(); });
-  return Listener.start();
-}
+absl::Status CallerFront::start() { return Listener.start(); }
 
 void CallerFront::take(http::Exchange Call) {
   auto Read = readCall(Call.Message);
@@ -222,6 +219,9 @@
 
 void CallerFront::deliver(placement::Event Happened) {
   if (!Overflow.empty() || !Decide(DecisionInput{Happened, nullptr})) {
+    if (Overflow.empty()) {
+      Network.after(OverflowRetry, [this] { flushOverflow(); });
+    }
     Overflow.push_back(std::move(Happened));
   }
 }
@@ -231,6 +231,9 @@
          Decide(DecisionInput{Overflow.front(), nullptr})) {
     Overflow.pop_front();
   }
+  if (!Overflow.empty()) {
+    Network.after(OverflowRetry, [this] { flushOverflow(); });
+  }
 }
 
 } // namespace balsamlatch::daemon
--- a/Source/Daemon/EventLoop.cpp
+++ b/Source/Daemon/EventLoop.cpp
@@ -36,6 +36,16 @@
   boost::asio::post(Context, std::move(Task));
 }
 
+void EventLoop::after(Duration Wait, std::function<void()> Task) {
+  const auto Alarm = std::make_shared<boost::asio::steady_timer>(Context, Wait);
+  Alarm->async_wait(
+      [Alarm, Due = std::move(Task)](const boost::system::error_code &Fault) {
+        if (!Fault) {
+          Due();
+        }
+      });
+}
+
 void EventLoop::every(Duration Period, std::function<void()> Task) {
   arm(std::make_shared<Timer>(Context, Period, std::move(Task)));
 }
--- a/Source/Daemon/include/balsamlatch/Daemon/EventLoop.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/EventLoop.h
@@ -37,6 +37,9 @@
   /// Runs \p Task on the loop.
   void post(std::function<void()> Task);
 
+  /// Runs \p Task on the loop once, \p Wait from now, unless the loop stops.
+  void after(Duration Wait, std::function<void()> Task);
+
   /// Runs \p Task on the loop every \p Period until the loop stops.
   void every(Duration Period, std::function<void()> Task);
 
