fleet: Let three entries of a region stand for the lease

Change: the first three live entries by name try every 2 s, the others every 30 s, so that the lease is taken also when no candidate reaches the store. Ruled out: candidates only, which would leave a region without controller when those three are cut from the store but not from the other entries.

--- a/Source/Fleet/Controller.cpp
+++ b/Source/Fleet/Controller.cpp
@@ -30,6 +30,9 @@
 /// Keeps the rate of reports bounded in a large fleet.
 constexpr Duration IdleAskPeriodPerHost = std::chrono::milliseconds(80);
 
+/// Entries that try for the lease at each of its periods.
+constexpr std::ptrdiff_t LeaseCandidates = 3;
+
 std::string incarnation(const ControllerOptions &Options) {
   std::mt19937_64 Random(Options.Seed);
   return fmt::format("{}-{:x}", Options.Self.Text, Random());
@@ -44,7 +47,8 @@
 class Controller::Impl {
 public:
   explicit Impl(const ControllerOptions &Options)
-      : Self(incarnation(Options)), Key(ledgerKey(Options.Region)),
+      : Entry(Options.Self), Self(incarnation(Options)),
+        Key(ledgerKey(Options.Region)),
         Lease(fmt::format("fleet/{}/controller", Options.Region), Self),
         Writer(Key, Self), Operator(Self) {}
 
@@ -69,7 +73,7 @@
   void on(const OrderReplied &Replied) { Orders.replied(Replied, Now); }
   void on(const ListingSeen &Seen) { Observed.take(Seen); }
   void on(const WorkerSeen &Seen) { Observed.take(Seen, Now); }
-  void on(const EntriesSeen &Seen) { Observed.take(Seen, Now); }
+  void on(const EntriesSeen &Seen);
   void on(const RulesSeen &Seen) { Rules = Seen.Rules; }
   void on(const DemandSeen &Seen) {
     Demand.take(Seen, Now);
@@ -99,8 +103,11 @@
   void askWorkers();
   void logWait(const HostName &Host, const Hindrance &Why);
 
+  const EntryName Entry;
   const std::string Self;
   const std::string Key;
+  // Whether this entry stands for the lease at each period.
+  bool Candidate = true;
   LeaseHolder Lease;
   LedgerWriter Writer;
   OperatorOrders Operator;
@@ -149,8 +156,21 @@
   decide();
 }
 
+/// The first few live entries by name stand for the lease; an entry that isn't
+/// listed yet does too.
+void Controller::Impl::on(const EntriesSeen &Seen) {
+  Observed.take(Seen, Now);
+  const auto Before = std::count_if(
+      Seen.Live.begin(), Seen.Live.end(),
+      [this](const EntriesSeen::View &View) { return View.Entry < Entry; });
+  const bool Listed = std::any_of(
+      Seen.Live.begin(), Seen.Live.end(),
+      [this](const EntriesSeen::View &View) { return View.Entry == Entry; });
+  Candidate = !Listed || Before < LeaseCandidates;
+}
+
 void Controller::Impl::on(const FleetTick &) {
-  if (const std::optional<LeaseAcquire> Due = Lease.due(Now)) {
+  if (const std::optional<LeaseAcquire> Due = Lease.due(Now, Candidate)) {
     LeaseTicket = newTicket();
     submit(*Due, LeaseTicket);
   }
--- a/Source/Fleet/LeaseHolder.cpp
+++ b/Source/Fleet/LeaseHolder.cpp
@@ -5,15 +5,16 @@
 
 namespace balsamlatch::fleet {
 
-std::optional<LeaseAcquire> LeaseHolder::due(Instant Now) {
+std::optional<LeaseAcquire> LeaseHolder::due(Instant Now, bool Candidate) {
   if (SentAt && Now - *SentAt < ReplyWait) {
     return std::nullopt;
   }
-  if (Now < NextTry) {
+  const Duration Period = Candidate || holds(Now) ? RenewPeriod : SeldomPeriod;
+  if (LastTry && Now < *LastTry + Period) {
     return std::nullopt;
   }
   SentAt = Now;
-  NextTry = Now + RenewPeriod;
+  LastTry = Now;
   return LeaseAcquire{Lease, Holder, TimeToLive};
 }
 
--- a/Source/Fleet/LeaseHolder.h
+++ b/Source/Fleet/LeaseHolder.h
@@ -18,14 +18,18 @@
 public:
   static constexpr Duration TimeToLive = std::chrono::seconds(6);
   static constexpr Duration RenewPeriod = TimeToLive / 3;
+  /// An entry that is no candidate tries this seldom, so that the lease is
+  /// taken even when no candidate reaches the store.
+  static constexpr Duration SeldomPeriod = std::chrono::seconds(30);
   /// How long an unanswered request is waited for.
   static constexpr Duration ReplyWait = std::chrono::seconds(4);
 
   LeaseHolder(std::string LeaseName, std::string HolderName)
       : Lease(std::move(LeaseName)), Holder(std::move(HolderName)) {}
 
-  /// The request that is due at \p Now, if any.
-  std::optional<LeaseAcquire> due(Instant Now);
+  /// The request that is due at \p Now, if any. Only candidates and the holder
+  /// ask every RenewPeriod, so that store calls don't grow with the entries.
+  std::optional<LeaseAcquire> due(Instant Now, bool Candidate);
 
   void replied(const StoreReply &Reply);
 
@@ -37,7 +41,7 @@
   std::string Lease;
   std::string Holder;
   std::optional<Instant> SentAt;
-  Instant NextTry{};
+  std::optional<Instant> LastTry;
   // Invariant: at most TimeToLive after a request that was granted was sent.
   Instant Until{};
 };
