placement: Remove a late claim also after a refused second write

Cause: a first write of a claim without an answer may be carried out late; when a second write was surely refused, the keeper forgot the first, and the key of a request that had ended as not run stayed taken for more than ten minutes. Change: a refused write takes back only its own mark. Result: ARefusedSecondWriteDoesNotHideALateFirstOne fails without the change (the repeat is told taken) and passes with it; Tests/Placement passes.

--- a/Source/Placement/ClaimKeeper.cpp
+++ b/Source/Placement/ClaimKeeper.cpp
@@ -156,6 +156,7 @@
   applyEnds(S);
   for (const RequestId &Id : S.Claims) {
     Wait &W = Waits.at(Id);
+    W.WrittenEarlier = W.MayBeWritten;
     W.MayBeWritten = true;
     S.Content.Claims.emplace(W.Digest, W.Line);
   }
@@ -200,8 +201,10 @@
 bool ClaimKeeper::takeContent(Shard &S, const StoreReply &Reply) {
   const std::string Written = std::exchange(S.Writing, {});
   if (absl::IsUnavailable(Reply.Status) && !Written.empty()) {
+    // Only this write surely had no effect; an earlier one may come late.
     for (const RequestId &Id : S.Claims) {
-      Waits.at(Id).MayBeWritten = false;
+      Wait &W = Waits.at(Id);
+      W.MayBeWritten = W.WrittenEarlier;
     }
   }
   if (!Reply.Status.ok() && !absl::IsAborted(Reply.Status)) {
--- a/Source/Placement/include/balsamlatch/Placement/ClaimKeeper.h
+++ b/Source/Placement/include/balsamlatch/Placement/ClaimKeeper.h
@@ -88,6 +88,8 @@
     Instant GiveUp{};
     // Set while a write with the line may have taken effect.
     bool MayBeWritten = false;
+    /// MayBeWritten before the write in flight.
+    bool WrittenEarlier = false;
   };
   struct Shard {
     // Invariant: what the store held at Version, if Known.
--- a/Tests/Placement/ClaimKeeperTest.cpp
+++ b/Tests/Placement/ClaimKeeperTest.cpp
@@ -128,6 +128,39 @@
   BOOST_TEST((B.result("b1") == ClaimResult::Won));
 }
 
+BOOST_AUTO_TEST_CASE(ARefusedSecondWriteDoesNotHideALateFirstOne) {
+  FakeStore Backend;
+  Entry A(Backend);
+  A.claim("a1", "key");
+  A.serve();
+  // The first write gets no answer and is carried out later.
+  BOOST_REQUIRE(A.Calls.size() == 1U);
+  const ClaimStoreCall Late = A.Calls.front();
+  A.Calls.clear();
+  A.take(A.Keeper.replied(
+      Late.Ticket, {absl::DeadlineExceededError("no answer"), {}}, A.Time));
+  // The second one is surely not carried out.
+  bool Refused = false;
+  for (int I = 0; I < 20 && !Refused; ++I) {
+    Refused = !A.Calls.empty() &&
+              std::holds_alternative<StoreSwap>(A.Calls.front().Request);
+    A.serve(Refused ? StoreFault::Down : StoreFault::None);
+    A.pass(20ms);
+  }
+  BOOST_REQUIRE(Refused);
+  Backend.submit(Late.Request, StoreFault::None);
+  A.pass(2s);
+  BOOST_TEST((A.result("a1") == ClaimResult::Unavailable));
+  for (int I = 0; I < 5; ++I) {
+    A.pass(1s);
+    A.settleAll();
+  }
+  Entry B(Backend);
+  B.claim("b1", "key");
+  B.settleAll();
+  BOOST_TEST((B.result("b1") == ClaimResult::Won));
+}
+
 BOOST_AUTO_TEST_CASE(ARepeatIsToldHowTheFirstEnded) {
   FakeStore Backend;
   Entry A(Backend);
