--- a/Tests/Fleet/WriterTest.cpp
+++ b/Tests/Fleet/WriterTest.cpp
@@ -66,13 +66,13 @@
 
 BOOST_AUTO_TEST_CASE(APausedHolderFindsItsLeaseOver) {
   LeaseHolder Holder("l", "me");
-  BOOST_TEST(Holder.due(Start).has_value());
-  BOOST_TEST(!Holder.due(Start).has_value());
+  BOOST_TEST(Holder.due(Start, true).has_value());
+  BOOST_TEST(!Holder.due(Start, true).has_value());
   Holder.replied({absl::OkStatus(), {1, "me"}});
   BOOST_TEST(Holder.holds(Start + LeaseHolder::TimeToLive - 1us));
   BOOST_TEST(!Holder.holds(Start + LeaseHolder::TimeToLive));
   // Another holder is learned at once.
-  BOOST_TEST(Holder.due(Start + 3s).has_value());
+  BOOST_TEST(Holder.due(Start + 3s, true).has_value());
   Holder.replied({absl::AbortedError(""), {2, "other"}});
   BOOST_TEST(!Holder.holds(Start + 3s));
 }
