--- a/Source/Rules/HeadVerifier.cpp
+++ b/Source/Rules/HeadVerifier.cpp
@@ -16,6 +16,22 @@
 
 namespace {
 
+/// Verifies and applies the head's changes that are later than the state.
+absl::StatusOr<ChainState> applyLater(const HeadDocument &Head,
+                                      ChainState State) {
+  for (const LandedChange &Landed : Head.Changes) {
+    if (Landed.Version <= State.version()) {
+      continue;
+    }
+    absl::StatusOr<ChainState> Next = State.next(Landed);
+    if (!Next.ok()) {
+      return Next;
+    }
+    State = *std::move(Next);
+  }
+  return State;
+}
+
 /// The pairs of keys that can be trusted on the word of the pair before.
 std::vector<OwnerKeys> trustedPairs(const HeadDocument &Head,
                                     const OwnerKeys &Trusted) {
@@ -130,18 +146,8 @@
 }
 
 absl::StatusOr<ChainState> HeadVerifier::verifyFrom(RulesVersion Anchor) const {
-  ChainState State = States[Anchor.Value - States.front().version().Value];
-  for (const LandedChange &Landed : Head.Changes) {
-    if (Landed.Version <= State.version()) {
-      continue;
-    }
-    absl::StatusOr<ChainState> Next = State.next(Landed);
-    if (!Next.ok()) {
-      return Next;
-    }
-    State = *std::move(Next);
-  }
-  return State;
+  return applyLater(Head,
+                    States[Anchor.Value - States.front().version().Value]);
 }
 
 absl::StatusOr<ChainState> verifyHead(const HeadDocument &Head,
@@ -180,18 +186,7 @@
   if (From.version() < Head.Base) {
     return absl::OutOfRangeError("the head starts after the version in force");
   }
-  ChainState State = From;
-  for (const LandedChange &Landed : Head.Changes) {
-    if (Landed.Version <= State.version()) {
-      continue;
-    }
-    absl::StatusOr<ChainState> Next = State.next(Landed);
-    if (!Next.ok()) {
-      return Next;
-    }
-    State = *std::move(Next);
-  }
-  return State;
+  return applyLater(Head, From);
 }
 
 } // namespace balsamlatch
--- a/Source/Tool/ProposeCommands.cpp
+++ b/Source/Tool/ProposeCommands.cpp
@@ -25,19 +25,30 @@
       "replace", "Start anew although the store has rules.");
 }
 
-/// Starts the chain; the status says what went wrong.
-absl::StatusOr<RulesVersion> init(const cxxopts::ParseResult &Options,
-                                  const ToolIo &Io) {
+/// The text of the rules file that the command names, once it checks without
+/// errors. The status shows all findings.
+absl::StatusOr<std::string>
+checkedRulesText(const cxxopts::ParseResult &Options) {
   const absl::StatusOr<std::string> Path = onlyArgument(Options, "rules file");
-  const absl::StatusOr<std::string> Text =
+  absl::StatusOr<std::string> Text =
       Path.ok() ? readFile(*Path) : Path.status();
   if (!Text.ok()) {
-    return Text.status();
+    return Text;
   }
   const ParsedRules Parsed = parseRules(*Path, *Text);
   if (Parsed.Problems.hasErrors()) {
     return absl::InvalidArgumentError("\n" + Parsed.Problems.render());
   }
+  return Text;
+}
+
+/// Starts the chain; the status says what went wrong.
+absl::StatusOr<RulesVersion> init(const cxxopts::ParseResult &Options,
+                                  const ToolIo &Io) {
+  const absl::StatusOr<std::string> Text = checkedRulesText(Options);
+  if (!Text.ok()) {
+    return Text.status();
+  }
   const std::vector<std::string> Keys =
       Options.count("key") != 0 ? Options["key"].as<std::vector<std::string>>()
                                 : std::vector<std::string>();
@@ -145,16 +156,10 @@
 
 absl::StatusOr<SignedChange> proposeFile(const cxxopts::ParseResult &Options,
                                          const ToolIo &Io) {
-  const absl::StatusOr<std::string> Path = onlyArgument(Options, "rules file");
-  const absl::StatusOr<std::string> Text =
-      Path.ok() ? readFile(*Path) : Path.status();
+  const absl::StatusOr<std::string> Text = checkedRulesText(Options);
   if (!Text.ok()) {
     return Text.status();
   }
-  const ParsedRules Parsed = parseRules(*Path, *Text);
-  if (Parsed.Problems.hasErrors()) {
-    return absl::InvalidArgumentError("\n" + Parsed.Problems.render());
-  }
   const absl::StatusOr<PrivateKey> Key = keyOf(Options);
   absl::StatusOr<OpenChain> Chain =
       Key.ok() ? OpenChain::open(Options, Io) : Key.status();
