--- a/Source/Fleet/Controller.cpp
+++ b/Source/Fleet/Controller.cpp
@@ -59,6 +59,7 @@
 
   const Ledger &ledger() const { return Known; }
   std::uint64_t version() const { return KnownVersion; }
+  const HostWaits &waits() const { return Waits; }
   bool leads() const { return Lease.holds(Now); }
 
 private:
@@ -120,7 +121,8 @@
   Ticket WriterTicket;
   // Invariant: the draft of the write in flight or not settled yet.
   std::optional<Draft> Pending;
-  std::map<HostName, std::string> LastWait;
+  // Invariant: only hosts that wait.
+  HostWaits Waits;
 
   // Valid during one call of handle.
   Instant Now{};
@@ -157,6 +159,8 @@
   Operator.expire(Now, Out);
   if (leads()) {
     askWorkers();
+  } else {
+    Waits.clear();
   }
   decide();
 }
@@ -193,6 +197,9 @@
     }
   }
   Orders.keepOnly(Busy);
+  std::erase_if(Waits, [&](const auto &Item) {
+    return !Item.first.empty() && !Known.Hosts.contains(Item.first);
+  });
 }
 
 void Controller::Impl::swapEnded(const StoreReply &Reply) {
@@ -304,12 +311,18 @@
 }
 
 void Controller::Impl::logWait(const HostName &Host, const Hindrance &Why) {
-  std::string &Last = LastWait[Host];
-  if (Last == Why.Reason) {
+  const auto Last = Waits.find(Host);
+  const bool Same = Last == Waits.end() ? Why.Reason.empty()
+                                        : Last->second.Reason == Why.Reason;
+  if (Why.Reason.empty()) {
+    if (!Same) {
+      Waits.erase(Last);
+    }
     return;
   }
-  Last = Why.Reason;
-  if (!Why.Reason.empty()) {
+  Waits[Host] = Why;
+  // A line for each change of the reason, not for each tick.
+  if (!Same) {
     Out.emplace_back(
         LogFleetDecision{Host, Why.Reason, Why.RuleLine, {{"why", Why.Text}}});
   }
@@ -328,6 +341,7 @@
 
 const Ledger &Controller::ledger() const { return Self->ledger(); }
 std::uint64_t Controller::ledgerVersion() const { return Self->version(); }
+const HostWaits &Controller::waits() const { return Self->waits(); }
 bool Controller::leads() const { return Self->leads(); }
 
 } // namespace balsamlatch::fleet
--- a/Source/Fleet/HostSteps.cpp
+++ b/Source/Fleet/HostSteps.cpp
@@ -209,6 +209,9 @@
     return {"waiting-worker", 0, "the worker does not report"};
   }
   const Operation &Hand = Record.InHand;
+  if (Hand.Kind == OperationKind::Drain && !Hand.Cancelled) {
+    return {"host-held", 0, "drained until an owner returns it"};
+  }
   const bool Rebooted = Hand.BootBefore != 0;
   if (Rebooted) {
     if (!ordered(HostOrderKind::Reboot, Host, Hand)) {
--- a/Source/Fleet/OperatorOrders.cpp
+++ b/Source/Fleet/OperatorOrders.cpp
@@ -20,7 +20,8 @@
     return absl::FailedPreconditionError(
         fmt::format("host {} is {}", Host.Text, stateCode(Record->State)));
   }
-  if (Record->State == HostState::Failed) {
+  const bool Held = Record->InHand.Kind == OperationKind::Drain;
+  if (Record->State == HostState::Failed && !Held) {
     return absl::FailedPreconditionError(
         "the host is lost; it returns when its worker reports again");
   }
--- a/Source/Fleet/Plan.cpp
+++ b/Source/Fleet/Plan.cpp
@@ -234,7 +234,7 @@
 
 std::string planText(const Ledger &Value, const RuleSet &Rules,
                      const HostsNeeded &Needed, WallTime Wall,
-                     unsigned MaxRounds) {
+                     unsigned MaxRounds, const HostWaits &Waits) {
   const FleetPlan Plan = makePlan(Value, Rules, Needed, Wall, MaxRounds);
   std::string Text;
   for (const Hindrance &Why : Plan.Blocked) {
@@ -242,9 +242,13 @@
   }
   for (const HostName &Host : Plan.Away) {
     const HostRecord &Record = Value.Hosts.at(Host);
-    Text += fmt::format("away      {:<20} {:<16} {:<15} {} {}\n", Host.Text,
+    Text += fmt::format("away      {:<20} {:<16} {:<15} {} {}", Host.Text,
                         Record.Pool.Text, stateCode(Record.State),
                         operationCode(Record.InHand.Kind), Record.InHand.Cause);
+    const auto Wait = Waits.find(Host);
+    Text += Wait == Waits.end()
+                ? std::string("\n")
+                : fmt::format("; {}\n", reasonsText({Wait->second}));
   }
   unsigned Number = 0;
   for (const std::vector<HostName> &Round : Plan.Rounds) {
@@ -263,7 +267,7 @@
 
 boost::json::object planJson(const Ledger &Value, const RuleSet &Rules,
                              const HostsNeeded &Needed, WallTime Wall,
-                             unsigned MaxRounds) {
+                             unsigned MaxRounds, const HostWaits &Waits) {
   const FleetPlan Plan = makePlan(Value, Rules, Needed, Wall, MaxRounds);
   boost::json::array Rounds;
   for (const std::vector<HostName> &Round : Plan.Rounds) {
@@ -275,8 +279,21 @@
                                           {"pool", Host.Pool.Text},
                                           {"why", reasonsJson(Host.Why)}});
   }
+  boost::json::array Away;
+  for (const HostName &Host : Plan.Away) {
+    const HostRecord &Record = Value.Hosts.at(Host);
+    const auto Wait = Waits.find(Host);
+    Away.push_back(boost::json::object{
+        {"host", Host.Text},
+        {"pool", Record.Pool.Text},
+        {"state", stateCode(Record.State)},
+        {"operation", operationCode(Record.InHand.Kind)},
+        {"cause", Record.InHand.Cause},
+        {"why", Wait == Waits.end() ? boost::json::array()
+                                    : reasonsJson({Wait->second})}});
+  }
   return {{"blocked", reasonsJson(Plan.Blocked)},
-          {"away", namesJson(Plan.Away)},
+          {"away", std::move(Away)},
           {"rounds", std::move(Rounds)},
           {"waiting", std::move(Waiting)}};
 }
--- a/Source/Fleet/Recovery.cpp
+++ b/Source/Fleet/Recovery.cpp
@@ -94,7 +94,9 @@
   }
   std::vector<HostName> Lost;
   for (const auto &[Host, Record] : Next.value().Hosts) {
+    // A host that an owner holds is the owner's to replace.
     if (Record.State == HostState::Failed && Record.Pool != Spare->Pool &&
+        Record.InHand.Kind != OperationKind::Drain &&
         Now - Observed.host(Host).StateSince >= ReplaceAfter) {
       Lost.push_back(Host);
     }
--- a/Source/Fleet/include/balsamlatch/Fleet/Budget.h
+++ b/Source/Fleet/include/balsamlatch/Fleet/Budget.h
@@ -32,6 +32,9 @@
   auto operator<=>(const Hindrance &) const = default;
 };
 
+/// What the operation in hand of each host waits for.
+using HostWaits = std::map<HostName, Hindrance>;
+
 /// Hosts of a group, and how many of them are away, planned or not.
 struct AwayCount {
   std::uint32_t Members = 0;
--- a/Source/Fleet/include/balsamlatch/Fleet/Controller.h
+++ b/Source/Fleet/include/balsamlatch/Fleet/Controller.h
@@ -8,6 +8,7 @@
 
 #include "balsamlatch/Base/Clock.h"
 #include "balsamlatch/Base/Ids.h"
+#include "balsamlatch/Fleet/Budget.h"
 #include "balsamlatch/Fleet/Ledger.h"
 #include "balsamlatch/Platform/HostList.h"
 #include "balsamlatch/Platform/Store.h"
@@ -155,6 +156,10 @@
   const Ledger &ledger() const;
   std::uint64_t ledgerVersion() const;
 
+  /// What each host that is under way waits for, and under the empty name what
+  /// recovery waits for. Empty unless this controller leads.
+  const HostWaits &waits() const;
+
   /// Whether this controller believes that it holds the lease.
   bool leads() const;
 
--- a/Source/Fleet/include/balsamlatch/Fleet/Plan.h
+++ b/Source/Fleet/include/balsamlatch/Fleet/Plan.h
@@ -53,15 +53,16 @@
 bool maintenanceDue(const HostRecord &Record, const RuleSet &Rules,
                     WallTime Wall);
 
-/// A table of the rounds and of the waiting hosts with their reasons.
+/// A table of the rounds and of the waiting hosts with their reasons. \p Waits
+/// says what the hosts that are away wait for, where the controller knows.
 std::string planText(const Ledger &Value, const RuleSet &Rules,
                      const HostsNeeded &Needed, WallTime Wall,
-                     unsigned MaxRounds);
+                     unsigned MaxRounds, const HostWaits &Waits = {});
 
 /// The same as JSON.
 boost::json::object planJson(const Ledger &Value, const RuleSet &Rules,
                              const HostsNeeded &Needed, WallTime Wall,
-                             unsigned MaxRounds);
+                             unsigned MaxRounds, const HostWaits &Waits = {});
 
 } // namespace balsamlatch::fleet
 
--- a/Tests/Fleet/LedgerTest.cpp
+++ b/Tests/Fleet/LedgerTest.cpp
@@ -6,8 +6,10 @@
 
 #include "HostLifecycle.h"
 #include "balsamlatch/Fleet/Ledger.h"
+#include "balsamlatch/Fleet/Plan.h"
 
 #include <array>
+#include <boost/json.hpp>
 #include <fmt/format.h>
 
 using namespace balsamlatch;
@@ -95,3 +97,34 @@
       nextState(HostState::InMaintenance, HostChange::Leave);
   BOOST_TEST(absl::IsFailedPrecondition(Next.status()));
 }
+
+BOOST_AUTO_TEST_CASE(ThePlanSaysWhatLeavesNextAndWhyTheRestWaits) {
+  Ledger Value = largeLedger(4, 2);
+  RuleSet Rules;
+  for (const char *Name : {"pool-00", "pool-01"}) {
+    PoolRule Pool;
+    Pool.Pool = PoolName(Name);
+    Pool.Away = {AwayBudget::Kind::Hosts, 1};
+    Pool.Origin.Line = 3;
+    Rules.Pools.emplace(Pool.Pool, Pool);
+  }
+  Rules.Maintenance.Period = 8 * 7 * 24h;
+  const WallTime Due = WallTime(1'800'000'000s) + 7 * 7 * 24h;
+  // worker-0000 is leaving, so its pool has no room.
+  const HostWaits Waits = {
+      {HostName("worker-0000"), {"waiting-worker", 0, "2 slots in use"}}};
+  BOOST_TEST(
+      planText(Value, Rules, {}, Due, 1, Waits) ==
+      "away      worker-0000          pool-00          leaving         "
+      "maintain rule line 17; waiting-worker: 2 slots in use\n"
+      "round 1   worker-0001          pool-01\n"
+      "waits     worker-0003          pool-01          budget-pool: pool "
+      "pool-01 has 1 of 2 hosts away and may have 1\n"
+      "waits     worker-0002          pool-00          budget-pool: pool "
+      "pool-00 has 1 of 2 hosts away and may have 1\n");
+  Value.HaltedBy = "anna";
+  const boost::json::object Json = planJson(Value, Rules, {}, Due, 1, Waits);
+  BOOST_TEST(Json.at("blocked").at(0).at("reason") == "fleet-halted");
+  BOOST_TEST(Json.at("away").at(0).at("why").at(0).at("reason") ==
+             "waiting-worker");
+}
--- a/Tests/Fleet/WorldTest.cpp
+++ b/Tests/Fleet/WorldTest.cpp
@@ -96,8 +96,12 @@
   BOOST_TEST(Test.reaches(First, HostState::Drained, 30s));
   Test.Around.run(5min);
   BOOST_TEST((Test.state(First) == HostState::Drained));
+  // It stays held when it is lost and comes back.
+  Test.Around.crash(First, 1min);
+  Test.Around.run(5min);
+  BOOST_TEST((Test.state(First) == HostState::Failed));
   BOOST_TEST(Test.ask({0, OperatorVerb::Return, First, {}, {}}).ok());
-  BOOST_TEST(Test.reaches(First, HostState::InService, 15s));
+  BOOST_TEST(Test.reaches(First, HostState::InService, 60s));
   checkClean(Test.Around);
 }
 
--- a/Utilities/FleetBench/MoveBench.cpp
+++ b/Utilities/FleetBench/MoveBench.cpp
@@ -168,7 +168,7 @@
   Result Total;
 };
 
-RuleSet rulesWith(WeightRule Weights) {
+RuleSet rulesWith(const WeightRule &Weights) {
   RuleSet Rules;
   for (const char *Name : {"p0", "p1", "p2", "p3", "spare"}) {
     PoolRule Pool;
@@ -231,7 +231,7 @@
       Name, R.Moves, R.BufferHostHours, R.SpareHostHours, R.LateSlotHours);
 }
 
-void compare(const char *Name, WeightRule Weights, double MeanSlots) {
+void compare(const char *Name, const WeightRule &Weights, double MeanSlots) {
   fmt::print("{}, mean {} slots a queue, weights moves {} buffer {}\n", Name,
              MeanSlots, Weights.Moves, Weights.Buffer);
   const RuleSet Rules = rulesWith(Weights);
