--- a/Source/Base/Clock.cpp
+++ b/Source/Base/Clock.cpp
@@ -3,6 +3,8 @@
 
 #include "balsamlatch/Base/Clock.h"
 
+#include <ctime>
+
 namespace balsamlatch {
 
 Instant SystemClock::now() const {
@@ -15,4 +17,14 @@
       std::chrono::system_clock::now());
 }
 
+Instant SuspendAwareClock::now() const {
+  timespec Time{};
+  clock_gettime(CLOCK_BOOTTIME, &Time);
+  return Instant(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(Time.tv_sec) +
+      std::chrono::nanoseconds(Time.tv_nsec)));
+}
+
+WallTime SuspendAwareClock::wallNow() const { return SystemClock().wallNow(); }
+
 } // namespace balsamlatch
--- a/Source/Daemon/EventLoop.cpp
+++ b/Source/Base/EventLoop.cpp
@@ -1,11 +1,11 @@
 /// \file
 /// The thread of an event loop and its repeating timers.
 
-#include "balsamlatch/Daemon/EventLoop.h"
+#include "balsamlatch/Base/EventLoop.h"
 
 #include <memory>
 
-namespace balsamlatch::daemon {
+namespace balsamlatch {
 
 struct EventLoop::Timer {
   Timer(boost::asio::io_context &Context, Duration Every,
@@ -62,4 +62,4 @@
       });
 }
 
-} // namespace balsamlatch::daemon
+} // namespace balsamlatch
--- a/Source/Base/include/balsamlatch/Base/Clock.h
+++ b/Source/Base/include/balsamlatch/Base/Clock.h
@@ -41,6 +41,15 @@
   WallTime wallNow() const override;
 };
 
+/// Like SystemClock, but its monotonic time also counts while the machine is
+/// suspended, so that a lease held by a process that was frozen is seen to
+/// have run out.
+class SuspendAwareClock final : public Clock {
+public:
+  Instant now() const override;
+  WallTime wallNow() const override;
+};
+
 /// A clock that moves only when told to. Not thread safe.
 class ManualClock final : public Clock {
 public:
--- a/Source/Daemon/include/balsamlatch/Daemon/EventLoop.h
+++ b/Source/Base/include/balsamlatch/Base/EventLoop.h
@@ -1,8 +1,8 @@
 /// \file
 /// A thread that runs an Asio context, and mailboxes that bring values to it.
 
-#ifndef BALSAMLATCH_DAEMON_EVENTLOOP_H
-#define BALSAMLATCH_DAEMON_EVENTLOOP_H
+#ifndef BALSAMLATCH_BASE_EVENTLOOP_H
+#define BALSAMLATCH_BASE_EVENTLOOP_H
 
 #include "balsamlatch/Base/Clock.h"
 #include "balsamlatch/Base/Ring.h"
@@ -16,7 +16,7 @@
 #include <thread>
 #include <utility>
 
-namespace balsamlatch::daemon {
+namespace balsamlatch {
 
 /// One thread that runs one Asio context until stopped.
 class EventLoop {
@@ -31,6 +31,9 @@
 
   void start();
 
+  /// Runs the loop on the calling thread until stop(); in place of start().
+  void runHere() { Context.run(); }
+
   /// Ends the loop and joins its thread. Handlers that wait are dropped.
   void stop();
 
@@ -105,6 +108,6 @@
   std::atomic<bool> Scheduled = false;
 };
 
-} // namespace balsamlatch::daemon
+} // namespace balsamlatch
 
-#endif // BALSAMLATCH_DAEMON_EVENTLOOP_H
+#endif // BALSAMLATCH_BASE_EVENTLOOP_H
--- /dev/null
+++ b/Source/Control/JobRouter.cpp
@@ -0,0 +1,85 @@
+/// \file
+/// Tries of a request until its deadline.
+
+#include "balsamlatch/Control/JobRouter.h"
+
+#include "balsamlatch/Control/JobWire.h"
+
+namespace balsamlatch::control {
+
+namespace {
+
+constexpr Duration RetryPause = std::chrono::milliseconds(25);
+/// A holder that hasn't answered by then may be frozen or cut off; the request
+/// is sent again, perhaps to the next one.
+constexpr Duration TryTimeout = std::chrono::milliseconds(700);
+/// Least time between two looks for the holder.
+constexpr Duration LookPeriod = std::chrono::milliseconds(150);
+
+} // namespace
+
+struct JobRouter::Try {
+  JobRequest What;
+  Instant Deadline{};
+  JobService::Answer Done;
+  /// A try went out and wasn't answered.
+  bool MayBeDone = false;
+};
+
+JobRouter::JobRouter(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
+                     Holder &Here, http::Client &Peers)
+    : Loop(Runner), Time(TimeSource), Log(Sink), Local(Here), Remote(Peers) {}
+
+void JobRouter::request(JobRequest What, Instant Deadline,
+                        JobService::Answer Done) {
+  attempt(std::make_shared<Try>(
+      Try{std::move(What), Deadline, std::move(Done), false}));
+}
+
+void JobRouter::attempt(const std::shared_ptr<Try> &What) {
+  if (Local.leading()) {
+    Local.request(What->What,
+                  [this, What](const JobReply &Reply) { answered(What, Reply); });
+    return;
+  }
+  const std::optional<HolderRecord> Known = Local.known();
+  if (!Known) {
+    answered(What, {JobReply::NotHolder});
+    return;
+  }
+  const Duration Left =
+      std::min<Duration>(TryTimeout, What->Deadline - Time.now());
+  Remote.call(Known->Ip, Known->Port, encodeRequest(What->What), Left,
+              [this, What](const http::Outcome &Came) {
+                if (Came.Status.ok()) {
+                  answered(What, decodeReply(Came.Answer));
+                  return;
+                }
+                if (Time.now() >= NextLookAt) {
+                  NextLookAt = Time.now() + LookPeriod;
+                  Local.lookAgain();
+                }
+                answered(What, {absl::IsUnavailable(Came.Status)
+                                    ? JobReply::NotHolder
+                                    : JobReply::Unknown});
+              });
+}
+
+void JobRouter::answered(const std::shared_ptr<Try> &What,
+                         const JobReply &Reply) {
+  const bool Settled = Reply.Outcome != JobReply::Unknown &&
+                       Reply.Outcome != JobReply::NotHolder;
+  if (Settled) {
+    LastAnswer = Time.now();
+    What->Done(Reply);
+    return;
+  }
+  What->MayBeDone = What->MayBeDone || Reply.Outcome == JobReply::Unknown;
+  if (Time.now() + RetryPause >= What->Deadline) {
+    What->Done({What->MayBeDone ? JobReply::Unknown : JobReply::NotHolder});
+    return;
+  }
+  Loop.after(RetryPause, [this, What] { attempt(What); });
+}
+
+} // namespace balsamlatch::control
--- /dev/null
+++ b/Source/Control/include/balsamlatch/Control/Holder.h
@@ -0,0 +1,131 @@
+/// \file
+/// Takes the lead of the jobs by a lease in the store, and holds it: rebuilds
+/// the jobs from the journal, answers requests about them, and carries out
+/// what the dispatcher decides.
+
+#ifndef BALSAMLATCH_CONTROL_HOLDER_H
+#define BALSAMLATCH_CONTROL_HOLDER_H
+
+#include "balsamlatch/Control/JobService.h"
+#include "balsamlatch/Control/Journal.h"
+#include "balsamlatch/Control/Ports.h"
+#include "balsamlatch/Control/PrefixMirror.h"
+#include "balsamlatch/Dispatch/Dispatcher.h"
+
+#include <optional>
+
+namespace balsamlatch::control {
+
+/// Who holds the jobs, as the store has it.
+struct HolderRecord {
+  std::string Entry;
+  std::string Ip;
+  std::uint16_t Port = 0;
+
+  auto operator<=>(const HolderRecord &) const = default;
+};
+
+std::string encodeHolder(const HolderRecord &Record);
+absl::StatusOr<HolderRecord> decodeHolder(std::string_view Text);
+
+struct HolderOptions {
+  HolderRecord Self;
+  /// The holder's key in the store, and the prefix to watch for it.
+  std::string Key = "lead/jobs";
+  Duration LeaseTime = std::chrono::milliseconds(1500);
+  Duration RenewPeriod = std::chrono::milliseconds(400);
+  /// Shortest time between two journal records.
+  Duration RecordGap = std::chrono::milliseconds(10);
+  dispatch::DispatchOptions Dispatch;
+};
+
+class Holder final : public JobService {
+public:
+  Holder(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
+         RecordStore &Target, WorkerPort &Orders, HolderOptions Wanted);
+  ~Holder() override;
+
+  void start();
+  /// Gives the lead up, and doesn't take it again.
+  void retire();
+
+  void configure(std::shared_ptr<const dispatch::Deployment> Config);
+  void setWorkers(std::map<std::string, dispatch::WorkerRecord> Now);
+
+  void request(JobRequest What, Answer Done) override;
+
+  /// Who leads, as far as is known here.
+  std::optional<HolderRecord> known() const { return Known; }
+  /// Looks again who leads, since the known one doesn't answer.
+  void lookAgain() { Lead.refresh(); }
+  bool leading() const { return Stage == Leading; }
+  /// Leads, and the lease is certainly in force.
+  bool certain() const;
+  dispatch::FencingToken token() const {
+    return dispatch::FencingToken(Token);
+  }
+  const dispatch::Dispatcher &dispatcher() const { return Decisions; }
+  dispatch::Dispatcher &dispatcher() { return Decisions; }
+  const jobs::JobBook &book() const { return *Book; }
+
+  /// Runs whenever a term begins or ends.
+  std::function<void(bool Leading)> OnTerm;
+
+private:
+  enum StageKind { Following, Acquiring, Loading, Leading, Retired };
+
+  void leadChanged();
+  void acquire();
+  void claim(std::uint64_t Lease);
+  void load();
+  void beginTerm();
+  void stepDown(std::string_view Why);
+  void renew();
+  void renewed(Instant SentAt, const LeaseReply &Reply);
+  void tick();
+  void record();
+  void recordWritten(const std::vector<jobs::JobEvent> &Events);
+  void compact();
+  void carryOut();
+  void send(const dispatch::WorkerOrder &Order);
+
+  void take(const SubmitJob &What, const Answer &Done);
+  void take(const CancelJob &What, const Answer &Done);
+  void take(const AskJob &What, const Answer &Done);
+  void take(const AskQueue &What, const Answer &Done);
+  void answerWaiting();
+
+  EventLoop &Loop;
+  const Clock &Time;
+  LogSink &Log;
+  RecordStore &Store;
+  WorkerPort &Workers;
+  const HolderOptions Settings;
+  PrefixMirror Lead;
+  Journal Records;
+  dispatch::Dispatcher Decisions;
+  std::unique_ptr<jobs::JobBook> Book = std::make_unique<jobs::JobBook>();
+  std::shared_ptr<const dispatch::Deployment> Config;
+  std::map<std::string, dispatch::WorkerRecord> Listed;
+
+  StageKind Stage = Following;
+  std::optional<HolderRecord> Known;
+  std::uint64_t Lease = 0;
+  /// Revision of the holder's key; also the fencing token.
+  std::uint64_t Token = 0;
+  Instant LeaseEnds{};
+  Instant StoreAnsweredAt{};
+  Instant NextRecordAt{};
+  Instant NextCompactAt{};
+  bool Ticking = false;
+  // Rises with each term, so that answers of earlier ones are dropped.
+  std::uint64_t TermNumber = 0;
+  // Requested and not recorded yet.
+  std::vector<jobs::JobEvent> Requested;
+  std::multimap<jobs::JobId, Answer> WaitForAccept;
+  std::multimap<jobs::JobId, Answer> WaitForCancel;
+};
+
+} // namespace balsamlatch::control
+
+#endif // BALSAMLATCH_CONTROL_HOLDER_H
--- /dev/null
+++ b/Source/Control/include/balsamlatch/Control/JobRouter.h
@@ -0,0 +1,43 @@
+/// \file
+/// Brings a request about jobs to whoever holds them now, and tries again
+/// while the holder changes. Requests are idempotent, so a try without answer
+/// may be repeated.
+
+#ifndef BALSAMLATCH_CONTROL_JOBROUTER_H
+#define BALSAMLATCH_CONTROL_JOBROUTER_H
+
+#include "balsamlatch/Control/Holder.h"
+#include "balsamlatch/Http/Client.h"
+
+namespace balsamlatch::control {
+
+class JobRouter {
+public:
+  JobRouter(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
+            Holder &Here, http::Client &Peers);
+
+  /// Answers by \p Deadline. Unknown: it may have been done; NotHolder: it
+  /// certainly was not, since no holder could be reached.
+  void request(JobRequest What, Instant Deadline, JobService::Answer Done);
+
+  /// When a holder last answered, through this router.
+  Instant lastAnswer() const { return LastAnswer; }
+
+private:
+  struct Try;
+
+  void attempt(const std::shared_ptr<Try> &What);
+  void answered(const std::shared_ptr<Try> &What, const JobReply &Reply);
+
+  EventLoop &Loop;
+  const Clock &Time;
+  LogSink &Log;
+  Holder &Local;
+  http::Client &Remote;
+  Instant LastAnswer{};
+  Instant NextLookAt{};
+};
+
+} // namespace balsamlatch::control
+
+#endif // BALSAMLATCH_CONTROL_JOBROUTER_H
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -12,7 +12,7 @@
 #include "balsamlatch/Daemon/ClaimLink.h"
 #include "balsamlatch/Daemon/DecisionMemory.h"
 #include "balsamlatch/Daemon/DecisionThread.h"
-#include "balsamlatch/Daemon/EventLoop.h"
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Daemon/FleetThread.h"
 #include "balsamlatch/Daemon/OperatorFront.h"
 #include "balsamlatch/Daemon/PeerLink.h"
--- a/Source/Daemon/Embedded.cpp
+++ b/Source/Daemon/Embedded.cpp
@@ -3,7 +3,7 @@
 
 #include "balsamlatch/Daemon/Embedded.h"
 
-#include "balsamlatch/Daemon/EventLoop.h"
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Http/Client.h"
 #include "balsamlatch/Platform/HttpStore.h"
 #include "balsamlatch/Rules/ChainJson.h"
--- a/Source/Daemon/include/balsamlatch/Daemon/ClaimLink.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/ClaimLink.h
@@ -7,7 +7,7 @@
 
 #include "balsamlatch/Base/Clock.h"
 #include "balsamlatch/Daemon/Board.h"
-#include "balsamlatch/Daemon/EventLoop.h"
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Placement/ClaimKeeper.h"
 #include "balsamlatch/Platform/Store.h"
 
--- a/Source/Daemon/include/balsamlatch/Daemon/OperatorFront.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/OperatorFront.h
@@ -9,7 +9,7 @@
 #include "balsamlatch/Base/Log.h"
 #include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Daemon/DecisionMemory.h"
-#include "balsamlatch/Daemon/EventLoop.h"
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Daemon/MetricsPage.h"
 #include "balsamlatch/Daemon/Settings.h"
 #include "balsamlatch/Daemon/StatusPage.h"
--- a/Source/Daemon/include/balsamlatch/Daemon/PeerLink.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/PeerLink.h
@@ -9,7 +9,7 @@
 #include "balsamlatch/Base/Log.h"
 #include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Daemon/DecisionThread.h"
-#include "balsamlatch/Daemon/EventLoop.h"
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Daemon/Settings.h"
 #include "balsamlatch/Fleet/Controller.h"
 #include "balsamlatch/Http/Client.h"
--- a/Source/Daemon/include/balsamlatch/Daemon/StoreLink.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/StoreLink.h
@@ -6,7 +6,7 @@
 #define BALSAMLATCH_DAEMON_STORELINK_H
 
 #include "balsamlatch/Daemon/Board.h"
-#include "balsamlatch/Daemon/EventLoop.h"
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Platform/HostList.h"
 #include "balsamlatch/Platform/Store.h"
 
--- /dev/null
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -0,0 +1,254 @@
+/// \file
+/// Chooses which waiting tasks run next, and where.
+
+#include "balsamlatch/Dispatch/Dispatcher.h"
+#include "balsamlatch/Dispatch/Ordering.h"
+
+#include <algorithm>
+
+namespace balsamlatch::dispatch {
+
+using jobs::Job;
+using jobs::StepSpec;
+using jobs::TaskPhase;
+using jobs::TaskRecord;
+
+/// One step of one occurrence with tasks that wait.
+struct Dispatcher::Candidate {
+  const Job *Owner = nullptr;
+  unsigned Occurrence = 0;
+  unsigned Step = 0;
+  unsigned Priority = 0;
+  PoolName Pool;
+  Rank Order;
+
+  const StepSpec &spec() const { return Owner->spec().Steps[Step]; }
+  TaskRef task(unsigned Index) const {
+    return {Owner->id(), Occurrence, Step, Index};
+  }
+  const TaskRecord *record(unsigned Index) const {
+    return Owner->find(task(Index));
+  }
+};
+
+namespace {
+
+/// Weight of a new job in the mean of a queue's work.
+constexpr double MeanWeight = 0.05;
+
+bool before(const auto &Left, const auto &Right) {
+  return std::tie(Left.Priority, Left.Order, Left.Owner->id()) <
+         std::tie(Right.Priority, Right.Order, Right.Owner->id());
+}
+
+unsigned sameStep(const WorkerState &Worker, const TaskRef &Task) {
+  TaskRef First = Task;
+  First.Index = 0;
+  unsigned Count = 0;
+  for (auto It = Worker.Runs.lower_bound(First);
+       It != Worker.Runs.end() && It->first.Job == Task.Job &&
+       It->first.Occurrence == Task.Occurrence && It->first.Step == Task.Step;
+       ++It) {
+    ++Count;
+  }
+  return Count;
+}
+
+/// Larger is better. Work that ends is packed, so that other workers stay
+/// free; lasting work and fillers are spread.
+double fitness(const WorkerState &Worker, const StepSpec &Step) {
+  const double Capacity =
+      static_cast<double>(std::max<std::int64_t>(1, Worker.Record.Capacity.CpuMilli));
+  const double Used = static_cast<double>(Worker.Claimed.CpuMilli) / Capacity;
+  double Score = Step.Lasting || Step.Filler ? -Used : Used;
+  if (Step.Lasting || Step.Filler) {
+    Score -= static_cast<double>(std::count_if(
+        Worker.Runs.begin(), Worker.Runs.end(),
+        [](const auto &Run) { return Run.second.Lasting; }));
+  }
+  if (!Step.PreferredRack.empty() && Worker.hasLabel(Step.PreferredRack)) {
+    Score += 100;
+  }
+  return Score;
+}
+
+} // namespace
+
+void Dispatcher::noteArrival(const Job &Owner) {
+  double &Mean = MeanWork[Owner.Record.Accepted.Queue];
+  const double Work = workOf(Owner.spec());
+  Mean = Mean == 0 ? Work : Mean + MeanWeight * (Work - Mean);
+}
+
+void Dispatcher::collect(const Job &Owner, const Queue &From,
+                         std::vector<Candidate> &Into) const {
+  const WallTime Now = Time.wallNow();
+  const auto Mean = MeanWork.find(From.Name);
+  for (unsigned K = 0; K < Owner.spec().occurrences(); ++K) {
+    if (Owner.spec().Times.Repeats > 0 && Owner.dueAt(K) > Now) {
+      break;
+    }
+    const auto Found = Owner.Record.Occurrences.find(K);
+    std::optional<Rank> Order;
+    for (unsigned Step = 0; Step < Owner.spec().Steps.size(); ++Step) {
+      const bool Waits =
+          Found == Owner.Record.Occurrences.end() ||
+          std::any_of(Found->second[Step].begin(), Found->second[Step].end(),
+                      [](const TaskRecord &Task) {
+                        return Task.Phase == TaskPhase::Waiting;
+                      });
+      if (!Waits || !Owner.ready(K, Step)) {
+        continue;
+      }
+      if (!Order) {
+        Order = rankOf(Owner, K, From,
+                       Mean == MeanWork.end() ? 0 : Mean->second, Now);
+      }
+      Into.push_back({&Owner, K, Step, From.Priority, From.Pool, *Order});
+    }
+  }
+}
+
+std::vector<Dispatcher::Candidate> Dispatcher::candidates() const {
+  std::vector<Candidate> Waiting;
+  for (const JobId &Id : OpenJobs) {
+    const Job *Owner = Book->find(Id);
+    if (Owner == nullptr || !Owner->open() || CloseProposed.contains(Id)) {
+      continue;
+    }
+    if (const Queue *From = Config->find(Owner->Record.Accepted.Queue)) {
+      collect(*Owner, *From, Waiting);
+      continue;
+    }
+    // The queue is gone from the configuration; its jobs still end.
+    Queue Gone;
+    Gone.Pool = Owner->Record.Accepted.Pool;
+    collect(*Owner, Gone, Waiting);
+  }
+  std::sort(Waiting.begin(), Waiting.end(),
+            [](const Candidate &Left, const Candidate &Right) {
+              return before(Left, Right);
+            });
+  return Waiting;
+}
+
+void Dispatcher::plan(Instant Now) {
+  if (Config == nullptr) {
+    return;
+  }
+  PoolWorkers Usable;
+  for (auto &[Id, Worker] : Workers) {
+    if (Worker.usable(Now)) {
+      Usable[Worker.Record.Pool].push_back(&Worker);
+    }
+  }
+  for (const Candidate &Which : candidates()) {
+    const auto Among = Usable.find(Which.Pool);
+    if (Among != Usable.end()) {
+      placeStep(Which, Among->second);
+    }
+  }
+}
+
+void Dispatcher::placeStep(const Candidate &Which,
+                           const std::vector<WorkerState *> &Among) {
+  std::vector<unsigned> Waiting;
+  for (unsigned Index = 0; Index < Which.spec().Count; ++Index) {
+    const TaskRecord *Task = Which.record(Index);
+    const bool Waits = Task == nullptr || Task->Phase == TaskPhase::Waiting;
+    if (Waits && !proposed(Which.task(Index)) &&
+        !EndingAt.contains(Which.task(Index))) {
+      Waiting.push_back(Index);
+    }
+  }
+  if (Which.spec().Gang) {
+    placeGang(Which, Waiting, Among);
+    return;
+  }
+  for (const unsigned Index : Waiting) {
+    WorkerState *Worker = choose(Which, Index, Among);
+    if (Worker == nullptr) {
+      return; // tasks of one step need the same
+    }
+    const TaskRecord *Task = Which.record(Index);
+    propose(Which, Index, *Worker, Task == nullptr ? 1 : Task->Run + 1);
+  }
+}
+
+void Dispatcher::placeGang(const Candidate &Which,
+                           const std::vector<unsigned> &Indexes,
+                           const std::vector<WorkerState *> &Among) {
+  if (Indexes.size() != Which.spec().Count) {
+    return; // members of an earlier run are still about
+  }
+  std::uint32_t Run = 1;
+  std::vector<std::pair<WorkerState *, TaskRef>> Chosen;
+  for (const unsigned Index : Indexes) {
+    WorkerState *Worker = choose(Which, Index, Among);
+    if (Worker == nullptr) {
+      break;
+    }
+    RunState Held;
+    Held.Claim = claimOf(Which.spec());
+    Worker->Claimed += Held.Claim;
+    Worker->Runs[Which.task(Index)] = Held;
+    Chosen.emplace_back(Worker, Which.task(Index));
+    const TaskRecord *Task = Which.record(Index);
+    Run = std::max(Run, Task == nullptr ? 1 : Task->Run + 1);
+  }
+  for (const auto &[Worker, Task] : Chosen) {
+    Worker->Claimed -= Worker->Runs[Task].Claim;
+    Worker->Runs.erase(Task);
+  }
+  if (Chosen.size() == Indexes.size()) {
+    for (std::size_t Member = 0; Member < Chosen.size(); ++Member) {
+      propose(Which, Indexes[Member], *Chosen[Member].first, Run);
+    }
+  }
+}
+
+WorkerState *
+Dispatcher::choose(const Candidate &Which, unsigned Index,
+                   const std::vector<WorkerState *> &Among) const {
+  const StepSpec &Step = Which.spec();
+  const TaskRef Task = Which.task(Index);
+  const Resources Claim = claimOf(Step);
+  const auto Failed = LastFailedOn.find(Task);
+  WorkerState *Best = nullptr;
+  double BestScore = 0;
+  for (WorkerState *Worker : Among) {
+    if (!Claim.fitsInto(Worker->room()) || Worker->Runs.contains(Task) ||
+        (!Step.RequiredLabel.empty() && !Worker->hasLabel(Step.RequiredLabel)) ||
+        (Step.MaxPerWorker > 0 &&
+         sameStep(*Worker, Task) >= Step.MaxPerWorker)) {
+      continue;
+    }
+    double Score = fitness(*Worker, Step);
+    if (Failed != LastFailedOn.end() &&
+        Failed->second == Worker->Record.Life.Id) {
+      Score -= 1000;
+    }
+    if (Best == nullptr || Score > BestScore) {
+      Best = Worker;
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+void Dispatcher::propose(const Candidate &Which, unsigned Index,
+                         WorkerState &Worker, std::uint32_t Run) {
+  const TaskRef Task = Which.task(Index);
+  RunState State;
+  State.Run = Run;
+  State.PlacedBorn = Worker.Record.Life.Born;
+  State.Claim = claimOf(Which.spec());
+  State.Lasting = Which.spec().Lasting;
+  State.Filler = Which.spec().Filler;
+  Worker.Claimed += State.Claim;
+  Worker.Runs[Task] = State;
+  Proposed.insert(Task);
+  Events.emplace_back(jobs::TaskPlaced{Task, Run, Worker.Record.Life});
+}
+
+} // namespace balsamlatch::dispatch
