--- a/Source/Control/include/balsamlatch/Control/Holder.h
+++ b/Source/Control/include/balsamlatch/Control/Holder.h
@@ -64,6 +64,8 @@
   dispatch::FencingToken token() const {
     return dispatch::FencingToken(Token);
   }
+  /// Holds in the store as long as this term lasts.
+  Condition leadCondition() const { return {Settings.Key, Token}; }
   const dispatch::Dispatcher &dispatcher() const { return Decisions; }
   dispatch::Dispatcher &dispatcher() { return Decisions; }
   const jobs::JobBook &book() const { return *Book; }
--- a/Source/Control/include/balsamlatch/Control/Ports.h
+++ b/Source/Control/include/balsamlatch/Control/Ports.h
@@ -5,6 +5,7 @@
 #ifndef BALSAMLATCH_CONTROL_PORTS_H
 #define BALSAMLATCH_CONTROL_PORTS_H
 
+#include "balsamlatch/Dispatch/Hosts.h"
 #include "balsamlatch/Dispatch/Orders.h"
 
 #include <functional>
@@ -25,21 +26,6 @@
   virtual void pace(const dispatch::PaceOrder &Order, Done Answered) = 0;
 };
 
-enum class HostStatus { Up, Moving, Maintenance, Down };
-
-struct HostRecord {
-  HostName Name;
-  PoolName Pool;
-  HostStatus Status = HostStatus::Up;
-  DataCentreName DataCentre;
-  std::vector<std::string> Labels;
-  jobs::Resources Capacity;
-  /// The worker that runs on it; empty for none.
-  std::string WorkerId;
-
-  auto operator<=>(const HostRecord &) const = default;
-};
-
 enum class HostOutcome {
   Done,
   /// Not up, or leaving; nothing was done.
@@ -65,7 +51,7 @@
 /// Moves and maintains hosts. All that runs on an ordered host ends.
 class HostPort {
 public:
-  using Listed = std::function<void(absl::StatusOr<std::vector<HostRecord>>)>;
+  using Listed = std::function<void(absl::StatusOr<std::vector<dispatch::HostRecord>>)>;
   using Done = std::function<void(HostOutcome)>;
 
   virtual ~HostPort() = default;
@@ -76,18 +62,6 @@
                         std::uint64_t Wave, Done Answered) = 0;
 };
 
-/// Hosts that the operator wants maintained.
-struct WaveRequest {
-  std::uint64_t Number = 0;
-  std::vector<HostName> Hosts;
-  /// Counts from the request.
-  Duration TimeAllowed{};
-  /// Most hosts of the wave that may be away for it at once.
-  unsigned MaxAway = 1;
-
-  auto operator<=>(const WaveRequest &) const = default;
-};
-
 } // namespace balsamlatch::control
 
 #endif // BALSAMLATCH_CONTROL_PORTS_H
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -175,6 +175,11 @@
   for (auto &[Id, Worker] : Workers) {
     noteRecorded(Worker, Worker.EndsInBatch);
   }
+  // The book has the ends of all events now, so none counts as proposed when
+  // the first job is looked at.
+  for (const JobEvent &Event : Done) {
+    dropDoneProposed(Event);
+  }
   for (const JobEvent &Event : Done) {
     std::visit([this](const auto &Kind) { recordOf(Kind); }, Event);
   }
@@ -223,12 +228,6 @@
       EndingAt.erase(At);
     }
   }
-  if (Event.How == RunEnd::Done) {
-    const auto Count = DoneProposed.find(Event.Task.Job);
-    if (Count != DoneProposed.end() && --Count->second == 0) {
-      DoneProposed.erase(Count);
-    }
-  }
   closeIfDone(Event.Task.Job);
 }
 
@@ -244,6 +243,17 @@
   }
 }
 
+void Dispatcher::dropDoneProposed(const JobEvent &Event) {
+  const auto *Ended = std::get_if<jobs::TaskEnded>(&Event);
+  if (Ended == nullptr || Ended->How != RunEnd::Done) {
+    return;
+  }
+  const auto Count = DoneProposed.find(Ended->Task.Job);
+  if (Count != DoneProposed.end() && --Count->second == 0) {
+    DoneProposed.erase(Count);
+  }
+}
+
 void Dispatcher::closeIfDone(const JobId &Id) {
   const jobs::Job *Owner = Book->find(Id);
   if (Owner == nullptr || !Owner->open() || CloseProposed.contains(Id)) {
@@ -456,6 +466,17 @@
   return std::exchange(Orders, {});
 }
 
+void Dispatcher::hostTaken(const std::string &WorkerId) {
+  const auto Found = Workers.find(WorkerId);
+  if (Book == nullptr || Found == Workers.end()) {
+    return;
+  }
+  loseAll(Found->second, "its host was moved or maintained");
+  Found->second.Listed = false;
+  Found->second.Cordoned = true;
+  Found->second.Silent = true;
+}
+
 void Dispatcher::setCordoned(const std::string &WorkerId, bool Cordoned) {
   const auto Found = Workers.find(WorkerId);
   if (Found != Workers.end()) {
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -76,12 +76,7 @@
     PlanNeeded = true;
     const auto Found = Worker.Runs.find(Ended.Task);
     if (Found == Worker.Runs.end() || Found->second.Run != Ended.Run) {
-      // Given up as lost before, or ended for an earlier holder. The book
-      // takes it if the task still waits after that run.
-      if (Ended.How == RunEnd::Done && !proposed(Ended.Task)) {
-        Events.emplace_back(jobs::TaskEnded{Ended.Task, Ended.Run, Ended.How,
-                                            Ended.Checkpoint});
-      }
+      takeLateEnd(Ended);
       continue;
     }
     noteHealth(Worker, Ended.Task, Ended.How);
@@ -89,6 +84,22 @@
   }
 }
 
+void Dispatcher::takeLateEnd(const EndedTask &Ended) {
+  const jobs::Job *Owner = Book->find(Ended.Task.Job);
+  const jobs::TaskRecord *Task =
+      Owner == nullptr ? nullptr : Owner->find(Ended.Task);
+  if (Ended.How != RunEnd::Done || Task == nullptr ||
+      Task->Phase == jobs::TaskPhase::Done || Task->Run != Ended.Run ||
+      Owner->spec().Steps[Ended.Task.Step].Lasting || proposed(Ended.Task)) {
+    return;
+  }
+  // Given up as lost, but it was done and its task has not run again.
+  ++DoneProposed[Ended.Task.Job];
+  Events.emplace_back(
+      jobs::TaskEnded{Ended.Task, Ended.Run, Ended.How, Ended.Checkpoint});
+  closeIfDone(Ended.Task.Job);
+}
+
 void Dispatcher::noteHealth(WorkerState &Worker, const TaskRef &Task,
                             RunEnd How) {
   if (How == RunEnd::Done) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -79,6 +79,8 @@
 
   const WorkerTable &workers() const { return Workers; }
   void setCordoned(const std::string &WorkerId, bool Cordoned);
+  /// The worker's host was moved or maintained: all that ran there has ended.
+  void hostTaken(const std::string &WorkerId);
 
 private:
   WorkerState *findWorker(const WorkerLife &Life);
@@ -97,10 +99,13 @@
   static void release(WorkerState &Worker, RunState &Run);
   static Resources claimOf(const jobs::StepSpec &Step);
   void noteHealth(WorkerState &Worker, const TaskRef &Task, jobs::RunEnd How);
+  void dropDoneProposed(const jobs::JobEvent &Event);
   void closeIfDone(const JobId &Id);
   void loseAll(WorkerState &Worker, std::string_view Why);
   void takeLife(WorkerState &Worker, std::int64_t Born);
   void takeEnds(WorkerState &Worker, const HoldReport &Report);
+  /// An end of a run that isn't expected any more.
+  void takeLateEnd(const EndedTask &Ended);
   void takeRunning(WorkerState &Worker, const HoldReport &Report,
                    Instant SentAt);
   void settleMissing(WorkerState &Worker, const std::set<TaskRef> &Present,
