fleet: Settle maintenance orders by the host list

Cause: the platform takes an order for a host that was maintained before without doing anything; a new holder that repeated the order gave the host's runs up as lost and placed them a second time (TWICE, AVAIL). Ruled out: late starts (all second runs were ordered by the holder that had just sent the order).

Change: what became of a host's worker is read from the list after the order; the hosts that a wave has done with are kept in the store.

--- a/Source/Control/HostControl.cpp
+++ b/Source/Control/HostControl.cpp
@@ -3,8 +3,13 @@
 
 #include "balsamlatch/Control/HostControl.h"
 
+#include <boost/json.hpp>
+#include <fmt/format.h>
+
 namespace balsamlatch::control {
 
+namespace json = boost::json;
+
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(100);
@@ -12,6 +17,34 @@
 constexpr Duration ListPeriod = std::chrono::milliseconds(700);
 constexpr Duration RetryPause = std::chrono::milliseconds(200);
 
+std::string progressKey(std::uint64_t Wave) {
+  return fmt::format("{}{}", HostControl::ProgressPrefix, Wave);
+}
+
+std::string encodeProgress(const std::vector<HostName> &Done) {
+  json::array Names;
+  for (const HostName &Name : Done) {
+    Names.emplace_back(Name.Text);
+  }
+  return json::serialize(Names);
+}
+
+/// Progress that can't be read costs orders that the platform takes without
+/// doing anything.
+std::vector<HostName> decodeProgress(const std::string &Text) {
+  std::vector<HostName> Done;
+  boost::system::error_code Fault;
+  const json::value Parsed = json::parse(Text, Fault);
+  if (!Fault && Parsed.is_array()) {
+    for (const json::value &Name : Parsed.get_array()) {
+      if (Name.is_string()) {
+        Done.emplace_back(std::string(Name.get_string()));
+      }
+    }
+  }
+  return Done;
+}
+
 } // namespace
 
 HostControl::HostControl(EventLoop &Runner, const Clock &TimeSource,
@@ -30,8 +63,17 @@
   ReportsRead = false;
   ListInFlight = false;
   NextListAt = {};
-  ReportInFlight.clear();
-  readReports();
+  WriteInFlight.clear();
+  AnsweredMeanwhile.clear();
+  // All reports share what stands before the wave's number.
+  std::string ReportPrefix = Reporting.Key(0);
+  ReportPrefix.pop_back();
+  readReports(ReportPrefix, [this] {
+    readReports(std::string(ProgressPrefix), [this] {
+      ReportsRead = true;
+      addOpenWaves();
+    });
+  });
   tick();
 }
 
@@ -45,18 +87,17 @@
   addOpenWaves();
 }
 
-void HostControl::readReports() {
-  // All reports share what stands before the wave's number.
-  std::string Prefix = Reporting.Key(0);
-  Prefix.pop_back();
-  Store.list(Prefix, "", [this, Mine = Term](const PageReply &Reply) {
+void HostControl::readReports(const std::string &Prefix,
+                              std::function<void()> Then) {
+  Store.list(Prefix, "", [this, Prefix, Then = std::move(Then),
+                          Mine = Term](const PageReply &Reply) {
     if (Mine != Term) {
       return;
     }
     if (!Reply.Status.ok()) {
-      Loop.after(RetryPause, [this, Mine] {
+      Loop.after(RetryPause, [this, Prefix, Then, Mine] {
         if (Mine == Term) {
-          readReports();
+          readReports(Prefix, Then);
         }
       });
       return;
@@ -64,8 +105,7 @@
     for (const StoredItem &Item : Reply.Items) {
       Reported[Item.Key] = Item.Value;
     }
-    ReportsRead = true;
-    addOpenWaves();
+    Then();
   });
 }
 
@@ -79,6 +119,10 @@
         Found != Reported.end() && Found->second == Reporting.Value(true);
     if (!Completed && !Keeper.hasWave(Wave.Number)) {
       Keeper.addWave(Wave);
+      const auto Progress = Reported.find(progressKey(Wave.Number));
+      if (Progress != Reported.end()) {
+        Keeper.addDone(Wave.Number, decodeProgress(Progress->second));
+      }
       report(Wave.Number, false);
     }
   }
@@ -122,7 +166,12 @@
                 {{"why", std::string(Reply.status().message())}});
       return;
     }
-    Keeper.setHosts(*std::move(Reply));
+    Keeper.setHosts(*std::move(Reply), Jobs.dispatcher());
+    for (const auto &[Order, Taken] : std::exchange(AnsweredMeanwhile, {})) {
+      Keeper.answered(Order, Taken);
+      NextListAt = {};
+    }
+    saveProgress();
   });
 }
 
@@ -137,40 +186,56 @@
         if (Mine != Term) {
           return;
         }
-        if (Outcome == HostOutcome::Done) {
-          Keeper.maintained(Order, Jobs.dispatcher());
+        const bool Taken = Outcome == HostOutcome::Done;
+        if (Taken || Outcome == HostOutcome::Unknown) {
+          // A list that is on its way may be older than the order.
+          if (ListInFlight) {
+            AnsweredMeanwhile.emplace_back(Order, Taken);
+          } else {
+            Keeper.answered(Order, Taken);
+            readHosts();
+          }
           return;
         }
-        Log.write(LogLevel::Info, "host-not-maintained",
+        Log.write(LogLevel::Info, "host-order-refused",
                   {{"host", Order.Host.Text},
                    {"outcome", static_cast<int>(Outcome)}});
-        Keeper.notMaintained(Order, Jobs.dispatcher());
+        Keeper.refused(Order, Jobs.dispatcher());
       });
 }
 
+void HostControl::saveProgress() {
+  for (const dispatch::WaveRequest &Wave : Waves) {
+    const std::vector<HostName> Done = Keeper.done(Wave.Number);
+    if (!Done.empty()) {
+      put(progressKey(Wave.Number), encodeProgress(Done));
+    }
+  }
+}
+
 void HostControl::report(std::uint64_t Wave, bool Completed) {
-  const std::string Key = Reporting.Key(Wave);
-  const std::string Value = Reporting.Value(Completed);
+  put(Reporting.Key(Wave), Reporting.Value(Completed));
+}
+
+void HostControl::put(const std::string &Key, const std::string &Value) {
   const auto Found = Reported.find(Key);
   if ((Found != Reported.end() && Found->second == Value) ||
-      !ReportInFlight.insert(Wave).second) {
+      !WriteInFlight.insert(Key).second) {
     return;
   }
   Transaction What;
   What.Conditions = {Jobs.leadCondition()};
   What.Writes = {{Key, Value, 0}};
-  Store.commit(std::move(What), [this, Wave, Completed, Key, Value,
+  Store.commit(std::move(What), [this, Key, Value,
                                  Mine = Term](const TransactionReply &Reply) {
     if (Mine != Term) {
       return;
     }
-    ReportInFlight.erase(Wave);
+    WriteInFlight.erase(Key);
     if (Reply.Status.ok()) {
       Reported[Key] = Value;
-      Log.write(LogLevel::Info, "wave-reported",
-                {{"wave", Wave}, {"completed", Completed}});
     }
-    // Otherwise the next decision reports again.
+    // Otherwise the next decision writes again.
   });
 }
 
--- a/Source/Control/include/balsamlatch/Control/HostControl.h
+++ b/Source/Control/include/balsamlatch/Control/HostControl.h
@@ -18,6 +18,9 @@
     std::function<std::string(bool Completed)> Value;
   };
 
+  /// Where the hosts that a wave has done with are kept.
+  static constexpr std::string_view ProgressPrefix = "fleet/wave/";
+
   HostControl(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
               RecordStore &Target, HostPort &Orders, Holder &Lead,
               dispatch::HostKeeperOptions Options, WaveReport Report);
@@ -29,7 +32,9 @@
 private:
   void tick();
   void readHosts();
-  void readReports();
+  void readReports(const std::string &Prefix, std::function<void()> Then);
+  void saveProgress();
+  void put(const std::string &Key, const std::string &Value);
   void addOpenWaves();
   void order(const dispatch::MaintainHost &Order);
   void report(std::uint64_t Wave, bool Completed);
@@ -43,13 +48,16 @@
   WaveReport Reporting;
   dispatch::HostKeeper Keeper;
   std::vector<dispatch::WaveRequest> Waves;
-  // Keys and values of the reports that the store has, while Reports is set.
+  // Reports and progress of waves as the store has them, once ReportsRead.
   std::map<std::string, std::string> Reported;
   bool ReportsRead = false;
   bool Active = false;
   bool ListInFlight = false;
   Instant NextListAt{};
-  std::set<std::uint64_t> ReportInFlight;
+  // Orders that were answered while a list was on its way.
+  std::vector<std::pair<dispatch::MaintainHost, bool>> AnsweredMeanwhile;
+  // Keys that are being written.
+  std::set<std::string> WriteInFlight;
   std::uint64_t Term = 0;
 };
 
--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -78,10 +78,14 @@
   Waves.clear();
 }
 
-void HostKeeper::setHosts(std::vector<HostRecord> Now) {
+void HostKeeper::setHosts(std::vector<HostRecord> Now, Dispatcher &Workers) {
   Hosts.clear();
   for (HostRecord &Host : Now) {
-    Hosts.emplace(Host.Name, std::move(Host));
+    HostName Name = Host.Name;
+    Hosts.emplace(std::move(Name), std::move(Host));
+  }
+  for (auto &[Number, Which] : Waves) {
+    settle(Which, Workers);
   }
 }
 
@@ -208,21 +212,39 @@
   }
 }
 
-void HostKeeper::maintained(const MaintainHost &Order, Dispatcher &Workers) {
-  Workers.hostTaken(Order.WorkerId);
+void HostKeeper::answered(const MaintainHost &Order, bool Taken) {
   const auto Found = Waves.find(Order.Wave);
-  if (Found == Waves.end()) {
-    return;
+  if (Found != Waves.end()) {
+    Found->second.Unsettled[Order.Host] = {Order, Taken};
+  }
+}
+
+void HostKeeper::settle(Wave &Which, Dispatcher &Workers) {
+  for (const auto &[Name, Answer] : std::exchange(Which.Unsettled, {})) {
+    const auto &[Order, Taken] = Answer;
+    const HostRecord *Host = find(Name);
+    const bool Gone = Host == nullptr || Host->Status != HostStatus::Up ||
+                      Host->WorkerId != Order.WorkerId;
+    Which.Ordered.erase(Name);
+    Which.Draining.erase(Name);
+    if (Gone) {
+      Workers.hostTaken(Order.WorkerId);
+      Which.Away[Name] = Time.now();
+    } else {
+      Workers.setCordoned(Order.WorkerId, false);
+    }
+    if (Gone || Taken) {
+      Which.Done.insert(Name);
+    }
+    Log.write(LogLevel::Info, "host-order-settled",
+              {{"host", Name.Text},
+               {"wave", Order.Wave},
+               {"taken", Taken},
+               {"away", Gone}});
   }
-  Wave &Which = Found->second;
-  Which.Ordered.erase(Order.Host);
-  Which.Draining.erase(Order.Host);
-  Which.Done.insert(Order.Host);
-  Which.Away[Order.Host] = Time.now();
 }
 
-void HostKeeper::notMaintained(const MaintainHost &Order,
-                               Dispatcher &Workers) {
+void HostKeeper::refused(const MaintainHost &Order, Dispatcher &Workers) {
   const auto Found = Waves.find(Order.Wave);
   if (Found != Waves.end()) {
     Found->second.Ordered.erase(Order.Host);
@@ -231,4 +253,20 @@
   Workers.setCordoned(Order.WorkerId, false);
 }
 
+void HostKeeper::addDone(std::uint64_t Number,
+                         const std::vector<HostName> &Names) {
+  const auto Found = Waves.find(Number);
+  if (Found != Waves.end()) {
+    Found->second.Done.insert(Names.begin(), Names.end());
+  }
+}
+
+std::vector<HostName> HostKeeper::done(std::uint64_t Number) const {
+  const auto Found = Waves.find(Number);
+  return Found == Waves.end() ? std::vector<HostName>()
+                              : std::vector<HostName>(
+                                    Found->second.Done.begin(),
+                                    Found->second.Done.end());
+}
+
 } // namespace balsamlatch::dispatch
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
@@ -46,7 +46,8 @@
   HostKeeper(const Clock &TimeSource, HostKeeperOptions Options, LogSink &Sink);
 
   void begin();
-  void setHosts(std::vector<HostRecord> Hosts);
+  /// The hosts as listed after all orders that were answered so far.
+  void setHosts(std::vector<HostRecord> Hosts, Dispatcher &Workers);
   /// A wave that is already completed is not given again.
   void addWave(const WaveRequest &Wave);
   bool hasWave(std::uint64_t Number) const { return Waves.contains(Number); }
@@ -55,10 +56,17 @@
   std::vector<HostDecision> decide(Dispatcher &Workers,
                                    const jobs::JobBook &Jobs);
 
-  /// The host is being maintained, or was before.
-  void maintained(const MaintainHost &Order, Dispatcher &Workers);
-  /// The order was refused or its outcome isn't known.
-  void notMaintained(const MaintainHost &Order, Dispatcher &Workers);
+  /// The platform took the order, or was never heard of again. It takes an
+  /// order for a host that was maintained before without doing anything, so
+  /// what became of the host's worker is told by the next list.
+  void answered(const MaintainHost &Order, bool Taken);
+  /// The platform refused the order.
+  void refused(const MaintainHost &Order, Dispatcher &Workers);
+
+  /// Hosts of the wave that need no order any more, as an earlier holder left
+  /// them and as they are now.
+  void addDone(std::uint64_t Wave, const std::vector<HostName> &Hosts);
+  std::vector<HostName> done(std::uint64_t Wave) const;
 
 private:
   struct Wave {
@@ -66,12 +74,15 @@
     Instant Since{};
     std::set<HostName> Done;
     std::set<HostName> Ordered;
+    // Orders whose effect the next list shows, and whether they were taken.
+    std::map<HostName, std::pair<MaintainHost, bool>> Unsettled;
     // Hosts kept free of new work, and since when.
     std::map<HostName, Instant> Draining;
     // When the maintenance of hosts that were ordered began.
     std::map<HostName, Instant> Away;
   };
 
+  void settle(Wave &Which, Dispatcher &Workers);
   const HostRecord *find(const HostName &Name) const;
   void decideWave(Wave &Which, Dispatcher &Workers, const jobs::JobBook &Jobs,
                   std::vector<HostDecision> &Into);
