dispatch: Let the leases of silent workers run out

Ruled out: the worker list (the entry was gone, the runs were kept).

Change: a silent worker isn't renewed. Tests: a world of fake workers with lost and late orders, restarts and changes of the holder; a checker; both faults found so far fail there without their mends.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -425,7 +425,9 @@
   if (Worker.Contacted && !Worker.Silent && !Worker.Runs.empty() && !EndsOpen) {
     Order.Wait = Settings.HoldWait;
   }
-  if (Worker.Contacted && MayRenew && !Worker.Runs.empty()) {
+  // A worker that doesn't answer isn't renewed: its runs could never be taken
+  // as ended otherwise.
+  if (Worker.Contacted && !Worker.Silent && MayRenew && !Worker.Runs.empty()) {
     Order.LeaseUntil =
         Worker.clockAt(Now) +
         std::chrono::duration_cast<WorkerClock>(Settings.RunLease);
--- /dev/null
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -0,0 +1,197 @@
+/// \file
+/// The dispatcher among workers that fail in single ways.
+
+#define BOOST_TEST_MODULE Dispatcher
+#include "World.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace balsamlatch;
+using namespace balsamlatch::dispatch;
+using namespace balsamlatch::dispatch::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::string joined(const std::vector<std::string> &Faults) {
+  std::string Text;
+  for (const std::string &Each : Faults) {
+    Text += Each + "; ";
+  }
+  return Text;
+}
+
+jobs::JobSpec lastingJob(unsigned Tasks) {
+  jobs::JobSpec Spec = simpleJob(Tasks);
+  Spec.Steps.front().Lasting = true;
+  Spec.Steps.front().MaxPerWorker = 1;
+  Spec.Steps.front().MaxUnavailable = 1;
+  return Spec;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(RunsStepsInOrderOnce) {
+  World W(3);
+  W.submit("a", simpleJob(4, 3));
+  W.run(3s);
+  BOOST_TEST(joined(W.faults()) == "");
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(W.started("a") == 12);
+}
+
+BOOST_AUTO_TEST_CASE(ManyEndsInOneRecordDontCloseTheJobEarly) {
+  // All but one task end at the same time, so that their ends are recorded
+  // together; the job waits for the last one.
+  World W(2);
+  W.Workers[0].Record.Capacity = {7000, 7000, 0};
+  W.Workers[1].Record.Capacity = {1000, 1000, 0};
+  W.Workers[1].RunTime = 900ms;
+  W.submit("a", simpleJob(8));
+  W.run(600ms);
+  BOOST_TEST(W.job("a").open());
+  W.run(2s);
+  BOOST_TEST(joined(W.faults()) == "");
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(WorkOfASilentWorkerRunsElsewhereAfterItsLease) {
+  World W(2);
+  W.submit("a", lastingJob(1));
+  W.run(500ms);
+  const std::string First = W.Past.Runs.front().Worker;
+  FakeWorker &Host = First == "w0" ? W.Workers[0] : W.Workers[1];
+  Host.Down = true; // it runs on, but nobody hears it
+  W.run(7s);
+  BOOST_TEST(W.started("a") == 2);
+  BOOST_TEST(joined(W.faults()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(AnUnansweredStartIsSettledBeforeTheNextRun) {
+  World W(2);
+  bool Once = true;
+  W.LosesAnswer = [&](const WorkerOrder &Order) {
+    return std::holds_alternative<StartOrder>(Order) &&
+           std::exchange(Once, false);
+  };
+  W.Workers[0].RunTime = W.Workers[1].RunTime = 2s;
+  W.submit("a", simpleJob(1));
+  W.run(8s);
+  BOOST_TEST(joined(W.faults()) == "");
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(AStartCarriedOutLateRunsNowhereTwice) {
+  World W(2);
+  unsigned Count = 0;
+  W.LateBy = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+    if (std::holds_alternative<StartOrder>(Order) && Count++ < 3) {
+      return 2500ms;
+    }
+    return std::nullopt;
+  };
+  W.submit("a", simpleJob(3));
+  W.run(10s);
+  BOOST_TEST(joined(W.faults()) == "");
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(ARestartedWorkerLosesItsRunsAtOnce) {
+  World W(1);
+  W.submit("a", lastingJob(1));
+  W.run(500ms);
+  W.Workers[0].crash(W.Time.now(), W.Past);
+  W.run(300ms);
+  BOOST_TEST(W.started("a") == 2);
+  BOOST_TEST(joined(W.faults()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(ALaterHolderTakesOverWhatRuns) {
+  World W(2);
+  W.submit("a", lastingJob(2));
+  W.submit("b", simpleJob(3));
+  W.run(200ms);
+  W.changeHolder();
+  W.run(3s);
+  BOOST_TEST(W.started("a") == 2);
+  BOOST_TEST(W.started("b") == 3);
+  BOOST_TEST(joined(W.faults()) == "");
+  BOOST_TEST((W.job("b").Record.State == jobs::JobState::Completed));
+}
+
+BOOST_AUTO_TEST_CASE(ALaterHolderWaitsForWorkersThatItCantReach) {
+  World W(2);
+  W.submit("a", lastingJob(1));
+  W.run(500ms);
+  const std::string First = W.Past.Runs.front().Worker;
+  (First == "w0" ? W.Workers[0] : W.Workers[1]).Down = true;
+  W.changeHolder();
+  W.run(8s);
+  BOOST_TEST(W.started("a") == 1);
+  W.run(4s);
+  BOOST_TEST(W.started("a") == 2);
+  BOOST_TEST(joined(W.faults()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(AJobFailsOnceATaskHasFailedAsOftenAsAllowed) {
+  World W(3);
+  for (FakeWorker &Each : W.Workers) {
+    Each.FailsAll = true;
+  }
+  W.submit("a", simpleJob(1));
+  W.run(10s);
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Failed));
+  BOOST_TEST(W.started("a") == 3);
+  BOOST_TEST(joined(W.faults()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(AFailedTaskGoesToAnotherWorker) {
+  World W(2);
+  W.Workers[0].FailsAll = true;
+  W.submit("a", simpleJob(4));
+  W.run(4s);
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(joined(W.faults()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(ACancelledJobStops) {
+  World W(2);
+  W.submit("a", lastingJob(2));
+  W.run(500ms);
+  W.cancel("a");
+  W.run(500ms);
+  for (const RunTrace &Each : W.Past.Runs) {
+    BOOST_TEST((Each.How == jobs::RunEnd::Stopped));
+  }
+  W.run(3s);
+  BOOST_TEST(W.started("a") == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AStalledRunIsStoppedAndRunsElsewhere) {
+  World W(2);
+  W.Workers[0].Hangs = W.Workers[1].Hangs = false;
+  W.submit("a", simpleJob(1));
+  W.run(50ms);
+  const std::string First = W.Past.Runs.front().Worker;
+  (First == "w0" ? W.Workers[0] : W.Workers[1]).Hangs = true;
+  W.run(6s);
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(joined(W.faults()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(NothingStartsBeforeItsRecord) {
+  World W(2);
+  W.submit("a", simpleJob(2));
+  W.run(20ms);
+  W.JournalAway = true;
+  W.run(2s);
+  const unsigned Before = W.started("a");
+  W.submit("b", simpleJob(2));
+  W.run(1s);
+  BOOST_TEST(W.started("a") == Before);
+  BOOST_TEST(W.started("b") == 0);
+  W.JournalAway = false;
+  W.run(3s);
+  BOOST_TEST((W.job("b").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(joined(W.faults()) == "");
+}
