fleet: Move hosts between pools as the work asks

Ruled out: the processor (0.007 of a core), placement (no start refused).

Change: a planner sizes pools by the tasks that run or could run now, takes vacant hosts from pools with a surplus or from standby, drains others, and gives back to standby what nobody needed for two seconds.

--- a/Source/Control/HostControl.cpp
+++ b/Source/Control/HostControl.cpp
@@ -15,6 +15,11 @@
 constexpr Duration TickPeriod = std::chrono::milliseconds(100);
 /// Time between two readings of the host list while there is work on hosts.
 constexpr Duration ListPeriod = std::chrono::milliseconds(700);
+/// The same while no order is open.
+constexpr Duration QuietListPeriod = std::chrono::milliseconds(2000);
+/// From the answer of an order to the list that shows its effect; orders that
+/// are answered together share a list.
+constexpr Duration SettlePause = std::chrono::milliseconds(20);
 constexpr Duration RetryPause = std::chrono::milliseconds(200);
 
 std::string progressKey(std::uint64_t Wave) {
@@ -132,14 +137,14 @@
   if (!Active) {
     return;
   }
-  if (!Keeper.idle() && !ListInFlight && Time.now() >= NextListAt) {
+  if (!ListInFlight && Time.now() >= NextListAt) {
     readHosts();
   }
-  if (Jobs.certain()) {
+  if (Jobs.certain() && Config != nullptr) {
     for (const dispatch::HostDecision &Each :
-         Keeper.decide(Jobs.dispatcher(), Jobs.book())) {
-      if (const auto *Maintain = std::get_if<dispatch::MaintainHost>(&Each)) {
-        order(*Maintain);
+         Keeper.decide(Jobs.dispatcher(), Jobs.book(), *Config)) {
+      if (const auto *Order = std::get_if<dispatch::HostOrder>(&Each)) {
+        order(*Order);
       } else {
         report(std::get<dispatch::WaveCompleted>(Each).Wave, true);
       }
@@ -160,7 +165,9 @@
       return;
     }
     ListInFlight = false;
-    NextListAt = Time.now() + (Reply.ok() ? ListPeriod : RetryPause);
+    NextListAt = Time.now() + (!Reply.ok()      ? RetryPause
+                               : Keeper.busy() ? ListPeriod
+                                               : QuietListPeriod);
     if (!Reply.ok()) {
       Log.write(LogLevel::Warning, "host-list-unread",
                 {{"why", std::string(Reply.status().message())}});
@@ -169,39 +176,49 @@
     Keeper.setHosts(*std::move(Reply), Jobs.dispatcher());
     for (const auto &[Order, Taken] : std::exchange(AnsweredMeanwhile, {})) {
       Keeper.answered(Order, Taken);
-      NextListAt = {};
+      NextListAt = Time.now();
     }
     saveProgress();
   });
 }
 
-void HostControl::order(const dispatch::MaintainHost &Order) {
-  Log.write(LogLevel::Info, "host-maintained",
+void HostControl::order(const dispatch::HostOrder &Order) {
+  Log.write(LogLevel::Info, "host-ordered",
             {{"host", Order.Host.Text},
              {"wave", Order.Wave},
+             {"to", Order.MoveTo.Text},
              {"worker", Order.WorkerId}});
-  Hosts.maintain(
-      {Jobs.known() ? Jobs.known()->Entry : "", Jobs.token()}, Order.Host,
-      Order.Wave, [this, Order, Mine = Term](HostOutcome Outcome) {
-        if (Mine != Term) {
-          return;
-        }
-        const bool Taken = Outcome == HostOutcome::Done;
-        if (Taken || Outcome == HostOutcome::Unknown) {
-          // A list that is on its way may be older than the order.
-          if (ListInFlight) {
-            AnsweredMeanwhile.emplace_back(Order, Taken);
-          } else {
-            Keeper.answered(Order, Taken);
-            readHosts();
-          }
-          return;
-        }
-        Log.write(LogLevel::Info, "host-order-refused",
-                  {{"host", Order.Host.Text},
-                   {"outcome", static_cast<int>(Outcome)}});
-        Keeper.refused(Order, Jobs.dispatcher());
-      });
+  const HolderIdentity By{Jobs.known() ? Jobs.known()->Entry : "",
+                          Jobs.token()};
+  const HostPort::Done Done = [this, Order, Mine = Term](HostOutcome Outcome) {
+    if (Mine == Term) {
+      answered(Order, Outcome);
+    }
+  };
+  if (Order.Wave != 0) {
+    Hosts.maintain(By, Order.Host, Order.Wave, Done);
+  } else {
+    Hosts.move(By, Order.Host, Order.MoveTo, Done);
+  }
+}
+
+void HostControl::answered(const dispatch::HostOrder &Order,
+                           HostOutcome Outcome) {
+  const bool Taken = Outcome == HostOutcome::Done;
+  if (Taken || Outcome == HostOutcome::Unknown) {
+    // A list that is on its way may be older than the order.
+    if (ListInFlight) {
+      AnsweredMeanwhile.emplace_back(Order, Taken);
+    } else {
+      Keeper.answered(Order, Taken);
+      NextListAt = std::min(NextListAt, Time.now() + SettlePause);
+    }
+    return;
+  }
+  Log.write(LogLevel::Info, "host-order-refused",
+            {{"host", Order.Host.Text},
+             {"outcome", static_cast<int>(Outcome)}});
+  Keeper.refused(Order, Jobs.dispatcher());
 }
 
 void HostControl::saveProgress() {
--- a/Source/Control/include/balsamlatch/Control/HostControl.h
+++ b/Source/Control/include/balsamlatch/Control/HostControl.h
@@ -27,6 +27,9 @@
 
   void begin();
   void end();
+  void configure(std::shared_ptr<const dispatch::Deployment> NewConfig) {
+    Config = std::move(NewConfig);
+  }
   void setWaves(std::vector<dispatch::WaveRequest> Requested);
 
 private:
@@ -36,7 +39,8 @@
   void saveProgress();
   void put(const std::string &Key, const std::string &Value);
   void addOpenWaves();
-  void order(const dispatch::MaintainHost &Order);
+  void order(const dispatch::HostOrder &Order);
+  void answered(const dispatch::HostOrder &Order, HostOutcome Outcome);
   void report(std::uint64_t Wave, bool Completed);
 
   EventLoop &Loop;
@@ -47,6 +51,7 @@
   Holder &Jobs;
   WaveReport Reporting;
   dispatch::HostKeeper Keeper;
+  std::shared_ptr<const dispatch::Deployment> Config;
   std::vector<dispatch::WaveRequest> Waves;
   // Reports and progress of waves as the store has them, once ReportsRead.
   std::map<std::string, std::string> Reported;
@@ -55,7 +60,7 @@
   bool ListInFlight = false;
   Instant NextListAt{};
   // Orders that were answered while a list was on its way.
-  std::vector<std::pair<dispatch::MaintainHost, bool>> AnsweredMeanwhile;
+  std::vector<std::pair<dispatch::HostOrder, bool>> AnsweredMeanwhile;
   // Keys that are being written.
   std::set<std::string> WriteInFlight;
   std::uint64_t Term = 0;
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -54,15 +54,15 @@
   return Count;
 }
 
-/// Larger is better. Work that ends is packed, so that other workers stay
-/// free; lasting work and fillers are spread.
+/// Larger is better. Work is packed, so that other workers stay free for
+/// maintenance and moves; lasting work shares the workers that have some.
 double fitness(const WorkerState &Worker, const StepSpec &Step) {
   const double Capacity =
       static_cast<double>(std::max<std::int64_t>(1, Worker.Record.Capacity.CpuMilli));
   const double Used = static_cast<double>(Worker.Claimed.CpuMilli) / Capacity;
-  double Score = Step.Lasting || Step.Filler ? -Used : Used;
+  double Score = Used;
   if (Step.Lasting || Step.Filler) {
-    Score -= static_cast<double>(std::count_if(
+    Score += static_cast<double>(std::count_if(
         Worker.Runs.begin(), Worker.Runs.end(),
         [](const auto &Run) { return Run.second.Lasting; }));
   }
--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -46,6 +46,67 @@
   return Away;
 }
 
+const WorkerState *workerOf(const HostRecord &Host, const Dispatcher &Workers) {
+  const auto Found = Workers.workers().find(Host.WorkerId);
+  return Found == Workers.workers().end() ? nullptr : &Found->second;
+}
+
+std::int64_t usedOf(const HostRecord &Host, const Dispatcher &Workers) {
+  const WorkerState *Worker = workerOf(Host, Workers);
+  return Worker == nullptr ? 0 : Worker->Claimed.CpuMilli;
+}
+
+/// Whether no work that would end by itself is cut off.
+bool endsNothing(const WorkerState *Worker) {
+  return Worker == nullptr ||
+         std::all_of(Worker->Runs.begin(), Worker->Runs.end(),
+                     [](const auto &Run) { return Run.second.Lasting; });
+}
+
+/// Adds the tasks of a step that run or could run now.
+void addDemand(const jobs::Job &Owner, unsigned Occurrence, unsigned Step,
+               PoolDemand &Into) {
+  const jobs::StepSpec &Spec = Owner.spec().Steps[Step];
+  if (Spec.Lasting) {
+    const unsigned Apart = std::max(1U, Spec.MaxPerWorker);
+    Into.LastingHosts =
+        std::max(Into.LastingHosts, (Spec.Count + Apart - 1) / Apart);
+    return;
+  }
+  if (!Owner.ready(Occurrence, Step)) {
+    return;
+  }
+  const auto Found = Owner.Record.Occurrences.find(Occurrence);
+  std::int64_t Open = Spec.Count;
+  if (Found != Owner.Record.Occurrences.end()) {
+    const jobs::StepRecord &Tasks = Found->second[Step];
+    Open = std::count_if(Tasks.begin(), Tasks.end(),
+                         [](const jobs::TaskRecord &Task) {
+                           return Task.Phase != jobs::TaskPhase::Done;
+                         });
+  }
+  Into.Ending.CpuMilli += Spec.Need.CpuMilli * Open;
+  Into.Ending.MemoryMb += Spec.Need.MemoryMb * Open;
+  Into.Ending.Gpus += Spec.Need.Gpus * Open;
+}
+
+std::map<PoolName, PoolDemand> demandOf(const jobs::JobBook &Jobs,
+                                        const Deployment &Config) {
+  std::map<PoolName, PoolDemand> Demand;
+  for (const auto &[Id, Owner] : Jobs.jobs()) {
+    if (!Owner.open()) {
+      continue;
+    }
+    const Queue *From = Config.find(Owner.Record.Accepted.Queue);
+    PoolDemand &Into =
+        Demand[From == nullptr ? Owner.Record.Accepted.Pool : From->Pool];
+    for (unsigned Step = 0; Step < Owner.spec().Steps.size(); ++Step) {
+      addDemand(Owner, 0, Step, Into);
+    }
+  }
+  return Demand;
+}
+
 } // namespace
 
 bool mayTakeAway(const WorkerState &Worker, const Dispatcher &Workers,
@@ -70,12 +131,22 @@
 
 HostKeeper::HostKeeper(const Clock &TimeSource, HostKeeperOptions Options,
                        LogSink &Sink)
-    : Time(TimeSource), Settings(Options), Log(Sink) {}
+    : Time(TimeSource), Settings(Options), Log(Sink), Pools(Options.Pools) {}
 
 void HostKeeper::begin() {
   TermBegan = Time.now();
   Hosts.clear();
   Waves.clear();
+  Ordered.clear();
+  Unsettled.clear();
+  Moving.clear();
+  DrainingForMove.clear();
+  Pools.reset();
+}
+
+bool HostKeeper::busy() const {
+  return !Waves.empty() || !Ordered.empty() || !Unsettled.empty() ||
+         !Moving.empty();
 }
 
 void HostKeeper::setHosts(std::vector<HostRecord> Now, Dispatcher &Workers) {
@@ -84,9 +155,7 @@
     HostName Name = Host.Name;
     Hosts.emplace(std::move(Name), std::move(Host));
   }
-  for (auto &[Number, Which] : Waves) {
-    settle(Which, Workers);
-  }
+  settle(Workers);
 }
 
 void HostKeeper::addWave(const WaveRequest &Request) {
@@ -108,7 +177,8 @@
 }
 
 std::vector<HostDecision> HostKeeper::decide(Dispatcher &Workers,
-                                             const jobs::JobBook &Jobs) {
+                                             const jobs::JobBook &Jobs,
+                                             const Deployment &Config) {
   std::vector<HostDecision> Decisions;
   if (Hosts.empty() || Time.now() - TermBegan < Settings.SettleTime) {
     return Decisions;
@@ -116,9 +186,17 @@
   for (auto &[Number, Which] : Waves) {
     decideWave(Which, Workers, Jobs, Decisions);
   }
+  decideMoves(Workers, Jobs, Config, Decisions);
   return Decisions;
 }
 
+void HostKeeper::give(HostOrder Order, Dispatcher &Workers,
+                      std::vector<HostDecision> &Into) {
+  Workers.setCordoned(Order.WorkerId, true);
+  Ordered[Order.Host] = Order;
+  Into.emplace_back(std::move(Order));
+}
+
 unsigned HostKeeper::away(const Wave &Which) const {
   const Instant Now = Time.now();
   unsigned Count = 0;
@@ -130,7 +208,8 @@
         Now - Began->second < Settings.MaintenanceTime + ReturnMargin;
     const bool Listed =
         Host != nullptr && Host->Status == HostStatus::Maintenance;
-    Count += Which.Ordered.contains(Name) || Recent || Listed ? 1 : 0;
+    const bool Open = Ordered.contains(Name) || Unsettled.contains(Name);
+    Count += Open || Recent || Listed ? 1 : 0;
   }
   return Count;
 }
@@ -144,14 +223,6 @@
   return static_cast<unsigned>((Left + Turns - 1) / Turns);
 }
 
-bool HostKeeper::vacant(const HostRecord &Host,
-                        const Dispatcher &Workers) const {
-  const auto Found = Workers.workers().find(Host.WorkerId);
-  return Found == Workers.workers().end() ||
-         std::all_of(Found->second.Runs.begin(), Found->second.Runs.end(),
-                     [](const auto &Run) { return Run.second.Lasting; });
-}
-
 void HostKeeper::decideWave(Wave &Which, Dispatcher &Workers,
                             const jobs::JobBook &Jobs,
                             std::vector<HostDecision> &Into) {
@@ -164,7 +235,8 @@
       continue; // a host that is gone needs no maintenance
     }
     ++Left;
-    if (!Which.Ordered.contains(Name) && Host->Status == HostStatus::Up) {
+    if (Host->Status == HostStatus::Up && !Ordered.contains(Name) &&
+        !Unsettled.contains(Name) && !Moving.contains(Name)) {
       Open.push_back(Host);
     }
   }
@@ -172,37 +244,28 @@
     Into.emplace_back(WaveCompleted{Which.Request.Number});
     return;
   }
-  const auto Used = [&](const HostRecord *Host) {
-    const auto Found = Workers.workers().find(Host->WorkerId);
-    return Found == Workers.workers().end()
-               ? 0
-               : Found->second.Claimed.CpuMilli;
-  };
   std::stable_sort(Open.begin(), Open.end(),
                    [&](const HostRecord *A, const HostRecord *B) {
                      const bool Drains[] = {Which.Draining.contains(A->Name),
                                             Which.Draining.contains(B->Name)};
-                     return Drains[0] != Drains[1] ? Drains[0]
-                                                   : Used(A) < Used(B);
+                     return Drains[0] != Drains[1]
+                                ? Drains[0]
+                                : usedOf(*A, Workers) < usedOf(*B, Workers);
                    });
-  unsigned Away = away(Which);
+  const unsigned Away = away(Which);
   const unsigned Wanted =
       std::min(drainsWanted(Which, Left), Which.Request.MaxAway);
   for (const HostRecord *Host : Open) {
-    const auto Worker = Workers.workers().find(Host->WorkerId);
-    const bool Known = Worker != Workers.workers().end();
+    const WorkerState *Worker = workerOf(*Host, Workers);
     const auto Draining = Which.Draining.find(Host->Name);
     const bool Overdue = Draining != Which.Draining.end() &&
                          Now - Draining->second > Settings.DrainLimit;
     const bool Allowed =
-        !Known || mayTakeAway(Worker->second, Workers, Jobs);
+        Worker == nullptr || mayTakeAway(*Worker, Workers, Jobs);
     if (Away < Which.Request.MaxAway && Allowed &&
-        (vacant(*Host, Workers) || Overdue)) {
-      ++Away;
-      Which.Ordered.insert(Host->Name);
-      Workers.setCordoned(Host->WorkerId, true);
-      Into.emplace_back(
-          MaintainHost{Host->Name, Host->WorkerId, Which.Request.Number});
+        (endsNothing(Worker) || Overdue)) {
+      give({Host->Name, Host->WorkerId, Which.Request.Number, {}}, Workers,
+           Into);
       return; // the next decision sees what this one takes away
     }
     if (Draining == Which.Draining.end() && Which.Draining.size() < Wanted) {
@@ -212,42 +275,117 @@
   }
 }
 
-void HostKeeper::answered(const MaintainHost &Order, bool Taken) {
-  const auto Found = Waves.find(Order.Wave);
-  if (Found != Waves.end()) {
-    Found->second.Unsettled[Order.Host] = {Order, Taken};
+std::vector<PoolHost>
+HostKeeper::poolHosts(const Dispatcher &Workers) const {
+  std::vector<PoolHost> All;
+  for (const auto &[Name, Host] : Hosts) {
+    if (Host.Status == HostStatus::Down) {
+      continue;
+    }
+    PoolHost View;
+    View.Name = Name;
+    View.Pool = Host.Pool;
+    View.Capacity = Host.Capacity;
+    const auto Way = Moving.find(Name);
+    if (Way != Moving.end()) {
+      View.Pool = Way->second.To;
+    }
+    const bool ForWave = std::any_of(
+        Waves.begin(), Waves.end(), [&, Key = Name](const auto &Each) {
+          return Each.second.Draining.contains(Key);
+        });
+    const WorkerState *Worker = workerOf(Host, Workers);
+    View.Movable = Host.Status == HostStatus::Up && Way == Moving.end() &&
+                   !Ordered.contains(Name) && !Unsettled.contains(Name) &&
+                   !ForWave && (Worker == nullptr || !Worker->Record.Draining);
+    View.Vacant = Worker == nullptr || Worker->Runs.empty();
+    View.Lasting =
+        Worker != nullptr &&
+        std::any_of(Worker->Runs.begin(), Worker->Runs.end(),
+                    [](const auto &Run) { return Run.second.Lasting; });
+    View.Draining = DrainingForMove.contains(Name);
+    View.UsedCpuMilli = usedOf(Host, Workers);
+    All.push_back(std::move(View));
+  }
+  return All;
+}
+
+void HostKeeper::decideMoves(Dispatcher &Workers, const jobs::JobBook &Jobs,
+                             const Deployment &Config,
+                             std::vector<HostDecision> &Into) {
+  const Instant Now = Time.now();
+  std::erase_if(Moving, [&](const auto &Each) {
+    return Now - Each.second.Since > Settings.MoveTime + ReturnMargin;
+  });
+  const PoolPlan Plan = Pools.plan(Now, Config.Pools, demandOf(Jobs, Config),
+                                   poolHosts(Workers));
+  for (const PoolPlan::Step &Step : Plan.Moves) {
+    const HostRecord *Host = find(Step.Host);
+    Moving[Step.Host] = {Step.To, Now};
+    DrainingForMove.erase(Step.Host);
+    give({Step.Host, Host->WorkerId, 0, Step.To}, Workers, Into);
+  }
+  const std::set<HostName> Wanted(Plan.Drains.begin(), Plan.Drains.end());
+  for (const HostName &Name : Wanted) {
+    if (DrainingForMove.insert(Name).second) {
+      Workers.setCordoned(find(Name)->WorkerId, true);
+    }
   }
+  std::erase_if(DrainingForMove, [&](const HostName &Name) {
+    const HostRecord *Host = find(Name);
+    if (Wanted.contains(Name)) {
+      return false;
+    }
+    if (Host != nullptr) {
+      Workers.setCordoned(Host->WorkerId, false);
+    }
+    return true;
+  });
 }
 
-void HostKeeper::settle(Wave &Which, Dispatcher &Workers) {
-  for (const auto &[Name, Answer] : std::exchange(Which.Unsettled, {})) {
+void HostKeeper::answered(const HostOrder &Order, bool Taken) {
+  Ordered.erase(Order.Host);
+  Unsettled[Order.Host] = {Order, Taken};
+}
+
+void HostKeeper::settle(Dispatcher &Workers) {
+  for (const auto &[Name, Answer] : std::exchange(Unsettled, {})) {
     const auto &[Order, Taken] = Answer;
     const HostRecord *Host = find(Name);
     const bool Gone = Host == nullptr || Host->Status != HostStatus::Up ||
                       Host->WorkerId != Order.WorkerId;
-    Which.Ordered.erase(Name);
-    Which.Draining.erase(Name);
     if (Gone) {
       Workers.hostTaken(Order.WorkerId);
-      Which.Away[Name] = Time.now();
+      settleGone(Order);
     } else {
       Workers.setCordoned(Order.WorkerId, false);
+      Moving.erase(Name);
     }
-    if (Gone || Taken) {
-      Which.Done.insert(Name);
+    if (const auto Found = Waves.find(Order.Wave); Found != Waves.end()) {
+      Found->second.Draining.erase(Name);
+      if (Gone || Taken) {
+        Found->second.Done.insert(Name);
+      }
     }
     Log.write(LogLevel::Info, "host-order-settled",
               {{"host", Name.Text},
                {"wave", Order.Wave},
+               {"to", Order.MoveTo.Text},
                {"taken", Taken},
                {"away", Gone}});
   }
 }
 
-void HostKeeper::refused(const MaintainHost &Order, Dispatcher &Workers) {
-  const auto Found = Waves.find(Order.Wave);
-  if (Found != Waves.end()) {
-    Found->second.Ordered.erase(Order.Host);
+void HostKeeper::settleGone(const HostOrder &Order) {
+  if (const auto Found = Waves.find(Order.Wave); Found != Waves.end()) {
+    Found->second.Away[Order.Host] = Time.now();
+  }
+}
+
+void HostKeeper::refused(const HostOrder &Order, Dispatcher &Workers) {
+  Ordered.erase(Order.Host);
+  Moving.erase(Order.Host);
+  if (const auto Found = Waves.find(Order.Wave); Found != Waves.end()) {
     Found->second.Draining.erase(Order.Host);
   }
   Workers.setCordoned(Order.WorkerId, false);
