fleet: Count tasks of hosts under an order as away

Cause: between an order and the list that shows its effect, the tasks of the ordered host still counted as at work, so a second host could be taken from the same step (AVAIL).

Change: the host's worker is marked as leaving when the order is given; the list is read right after the answer instead of with the next tick.

--- a/Source/Control/HostControl.cpp
+++ b/Source/Control/HostControl.cpp
@@ -67,6 +67,7 @@
   Reported.clear();
   ReportsRead = false;
   ListInFlight = false;
+  ListPlanned = false;
   NextListAt = {};
   WriteInFlight.clear();
   AnsweredMeanwhile.clear();
@@ -157,6 +158,21 @@
   });
 }
 
+void HostControl::listSoon() {
+  if (std::exchange(ListPlanned, true)) {
+    return;
+  }
+  Loop.after(SettlePause, [this, Mine = Term] {
+    if (Mine != Term) {
+      return;
+    }
+    ListPlanned = false;
+    if (!ListInFlight) {
+      readHosts();
+    }
+  });
+}
+
 void HostControl::readHosts() {
   ListInFlight = true;
   Hosts.list([this, Mine = Term](
@@ -176,7 +192,7 @@
     Keeper.setHosts(*std::move(Reply), Jobs.dispatcher());
     for (const auto &[Order, Taken] : std::exchange(AnsweredMeanwhile, {})) {
       Keeper.answered(Order, Taken);
-      NextListAt = Time.now();
+      listSoon();
     }
     saveProgress();
   });
@@ -211,7 +227,7 @@
       AnsweredMeanwhile.emplace_back(Order, Taken);
     } else {
       Keeper.answered(Order, Taken);
-      NextListAt = std::min(NextListAt, Time.now() + SettlePause);
+      listSoon();
     }
     return;
   }
--- a/Source/Control/include/balsamlatch/Control/HostControl.h
+++ b/Source/Control/include/balsamlatch/Control/HostControl.h
@@ -35,6 +35,7 @@
 private:
   void tick();
   void readHosts();
+  void listSoon();
   void readReports(const std::string &Prefix, std::function<void()> Then);
   void saveProgress();
   void put(const std::string &Key, const std::string &Value);
@@ -58,6 +59,7 @@
   bool ReportsRead = false;
   bool Active = false;
   bool ListInFlight = false;
+  bool ListPlanned = false;
   Instant NextListAt{};
   // Orders that were answered while a list was on its way.
   std::vector<std::pair<dispatch::HostOrder, bool>> AnsweredMeanwhile;
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -468,6 +468,14 @@
   return std::exchange(Orders, {});
 }
 
+void Dispatcher::setLeaving(const std::string &WorkerId, bool Leaving) {
+  setCordoned(WorkerId, Leaving);
+  const auto Found = Workers.find(WorkerId);
+  if (Found != Workers.end()) {
+    Found->second.Leaving = Leaving;
+  }
+}
+
 void Dispatcher::hostTaken(const std::string &WorkerId) {
   const auto Found = Workers.find(WorkerId);
   if (Book == nullptr || Found == Workers.end()) {
--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -21,11 +21,11 @@
          Run.Percent >= Whole;
 }
 
-/// The run of a task, wherever it is; null when there is none.
+/// The run of a task on a worker that stays; null when there is none.
 const RunState *runOf(const TaskRef &Task, const jobs::TaskRecord &Record,
                       const Dispatcher &Workers) {
   const auto Worker = Workers.workers().find(Record.Worker.Id);
-  if (Worker == Workers.workers().end()) {
+  if (Worker == Workers.workers().end() || Worker->second.Leaving) {
     return nullptr;
   }
   const auto Run = Worker->second.Runs.find(Task);
@@ -192,7 +192,7 @@
 
 void HostKeeper::give(HostOrder Order, Dispatcher &Workers,
                       std::vector<HostDecision> &Into) {
-  Workers.setCordoned(Order.WorkerId, true);
+  Workers.setLeaving(Order.WorkerId, true);
   Ordered[Order.Host] = Order;
   Into.emplace_back(std::move(Order));
 }
@@ -358,7 +358,7 @@
       Workers.hostTaken(Order.WorkerId);
       settleGone(Order);
     } else {
-      Workers.setCordoned(Order.WorkerId, false);
+      Workers.setLeaving(Order.WorkerId, false);
       Moving.erase(Name);
     }
     if (const auto Found = Waves.find(Order.Wave); Found != Waves.end()) {
@@ -388,7 +388,7 @@
   if (const auto Found = Waves.find(Order.Wave); Found != Waves.end()) {
     Found->second.Draining.erase(Order.Host);
   }
-  Workers.setCordoned(Order.WorkerId, false);
+  Workers.setLeaving(Order.WorkerId, false);
 }
 
 void HostKeeper::addDone(std::uint64_t Number,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -79,6 +79,9 @@
 
   const WorkerTable &workers() const { return Workers; }
   void setCordoned(const std::string &WorkerId, bool Cordoned);
+  /// An order that ends all that runs on the worker is about to be sent, or
+  /// was refused.
+  void setLeaving(const std::string &WorkerId, bool Leaving);
   /// The worker's host was moved or maintained: all that ran there has ended.
   void hostTaken(const std::string &WorkerId);
 
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -59,6 +59,8 @@
   bool Silent = false;
   /// Excluded from placement for upkeep or a move.
   bool Cordoned = false;
+  /// An order that ends all its runs is on its way to its host.
+  bool Leaving = false;
   bool HoldInFlight = false;
   Instant NextHoldAt{};
   Instant LastReportAt{};
