dispatch, control: Tell ended workers by the host list; refuse without the store

Change: the lease bound starts anew at first contact; workers on no host in two lists have ended; jobs are looked at when a term begins; a wave's begin is kept in the store; jobs are refused with a Retry-After once a record has waited 450 ms; a wave may give several orders in one decision (the test that expected one expects the wave's bound now).

--- a/Source/Control/HolderRequests.cpp
+++ b/Source/Control/HolderRequests.cpp
@@ -5,6 +5,15 @@
 
 namespace balsamlatch::control {
 
+namespace {
+
+/// A record that takes longer than this shows that the store is away.
+constexpr Duration StoreAway = std::chrono::milliseconds(450);
+/// Outages of the store last some seconds.
+constexpr Duration StoreRetry = std::chrono::seconds(2);
+
+} // namespace
+
 void Holder::request(JobRequest What, Answer Done) {
   if (Stage != Leading) {
     Done({JobReply::NotHolder});
@@ -19,6 +28,13 @@
     return;
   }
   const bool First = !WaitForAccept.contains(What.Job);
+  if (First && Records.busy() && Time.now() - Records.begunAt() > StoreAway) {
+    // It could not be stored in time; nobody knows when the store is back.
+    JobReply Reply{JobReply::Refused};
+    Reply.RetryAfter = StoreRetry;
+    Done(Reply);
+    return;
+  }
   if (First) {
     const dispatch::Queue *From =
         Config == nullptr ? nullptr : Config->find(What.Queue);
--- a/Source/Control/HostControl.cpp
+++ b/Source/Control/HostControl.cpp
@@ -22,32 +22,41 @@
 constexpr Duration SettlePause = std::chrono::milliseconds(20);
 constexpr Duration RetryPause = std::chrono::milliseconds(200);
 
+/// What a later holder needs to know of a wave.
+struct WaveProgress {
+  WallTime Since{};
+  std::vector<HostName> Done;
+};
+
 std::string progressKey(std::uint64_t Wave) {
   return fmt::format("{}{}", HostControl::ProgressPrefix, Wave);
 }
 
-std::string encodeProgress(const std::vector<HostName> &Done) {
+std::string encodeProgress(const WaveProgress &Progress) {
   json::array Names;
-  for (const HostName &Name : Done) {
+  for (const HostName &Name : Progress.Done) {
     Names.emplace_back(Name.Text);
   }
-  return json::serialize(Names);
+  return json::serialize(
+      json::object{{"since_us", Progress.Since.time_since_epoch().count()},
+                   {"done", std::move(Names)}});
 }
 
-/// Progress that can't be read costs orders that the platform takes without
-/// doing anything.
-std::vector<HostName> decodeProgress(const std::string &Text) {
-  std::vector<HostName> Done;
-  boost::system::error_code Fault;
-  const json::value Parsed = json::parse(Text, Fault);
-  if (!Fault && Parsed.is_array()) {
-    for (const json::value &Name : Parsed.get_array()) {
-      if (Name.is_string()) {
-        Done.emplace_back(std::string(Name.get_string()));
-      }
+absl::StatusOr<WaveProgress> decodeProgress(const std::string &Text) {
+  try {
+    const json::value Parsed = json::parse(Text);
+    const json::object &Fields = Parsed.as_object();
+    WaveProgress Progress;
+    Progress.Since = WallTime(
+        Duration(Fields.at("since_us").to_number<std::int64_t>()));
+    for (const json::value &Name : Fields.at("done").as_array()) {
+      Progress.Done.emplace_back(std::string(Name.as_string()));
     }
+    return Progress;
+  } catch (const std::exception &Fault) {
+    return absl::DataLossError(fmt::format(
+        "the progress of a wave can't be read: {}", Fault.what()));
   }
-  return Done;
 }
 
 } // namespace
@@ -124,14 +133,30 @@
     const bool Completed =
         Found != Reported.end() && Found->second == Reporting.Value(true);
     if (!Completed && !Keeper.hasWave(Wave.Number)) {
-      Keeper.addWave(Wave);
-      const auto Progress = Reported.find(progressKey(Wave.Number));
-      if (Progress != Reported.end()) {
-        Keeper.addDone(Wave.Number, decodeProgress(Progress->second));
-      }
-      report(Wave.Number, false);
+      takeUp(Wave);
+    }
+  }
+}
+
+void HostControl::takeUp(const dispatch::WaveRequest &Wave) {
+  WallTime &Since = Begun.try_emplace(Wave.Number, Time.wallNow()).first->second;
+  const auto Kept = Reported.find(progressKey(Wave.Number));
+  std::vector<HostName> Done;
+  if (Kept != Reported.end()) {
+    absl::StatusOr<WaveProgress> Read = decodeProgress(Kept->second);
+    if (Read.ok()) {
+      Since = std::min(Since, Read->Since);
+      Done = std::move(Read->Done);
+    } else {
+      // It only costs orders that the platform takes without doing anything.
+      Log.write(LogLevel::Warning, "wave-progress-unreadable",
+                {{"wave", Wave.Number},
+                 {"why", std::string(Read.status().message())}});
     }
   }
+  Keeper.addWave(Wave, Time.wallNow() - Since);
+  Keeper.addDone(Wave.Number, Done);
+  report(Wave.Number, false);
 }
 
 void HostControl::tick() {
@@ -239,9 +264,9 @@
 
 void HostControl::saveProgress() {
   for (const dispatch::WaveRequest &Wave : Waves) {
-    const std::vector<HostName> Done = Keeper.done(Wave.Number);
-    if (!Done.empty()) {
-      put(progressKey(Wave.Number), encodeProgress(Done));
+    if (Keeper.hasWave(Wave.Number)) {
+      put(progressKey(Wave.Number),
+          encodeProgress({Begun[Wave.Number], Keeper.done(Wave.Number)}));
     }
   }
 }
--- a/Source/Control/Journal.cpp
+++ b/Source/Control/Journal.cpp
@@ -102,6 +102,7 @@
     What->What.Removals.push_back(keyOf(Number));
   }
   Busy = true;
+  BegunAt = Time.now();
   send(What);
 }
 
--- a/Source/Control/include/balsamlatch/Control/Holder.h
+++ b/Source/Control/include/balsamlatch/Control/Holder.h
@@ -35,7 +35,7 @@
   Duration LeaseTime = std::chrono::milliseconds(1500);
   Duration RenewPeriod = std::chrono::milliseconds(400);
   /// Shortest time between two journal records.
-  Duration RecordGap = std::chrono::milliseconds(10);
+  Duration RecordGap = std::chrono::milliseconds(15);
   dispatch::DispatchOptions Dispatch;
 };
 
--- a/Source/Control/include/balsamlatch/Control/HostControl.h
+++ b/Source/Control/include/balsamlatch/Control/HostControl.h
@@ -40,6 +40,7 @@
   void saveProgress();
   void put(const std::string &Key, const std::string &Value);
   void addOpenWaves();
+  void takeUp(const dispatch::WaveRequest &Wave);
   void order(const dispatch::HostOrder &Order);
   void answered(const dispatch::HostOrder &Order, HostOutcome Outcome);
   void report(std::uint64_t Wave, bool Completed);
@@ -61,6 +62,8 @@
   bool ListInFlight = false;
   bool ListPlanned = false;
   Instant NextListAt{};
+  // When each wave was first known of.
+  std::map<std::uint64_t, WallTime> Begun;
   // Orders that were answered while a list was on its way.
   std::vector<std::pair<dispatch::HostOrder, bool>> AnsweredMeanwhile;
   // Keys that are being written.
--- a/Source/Control/include/balsamlatch/Control/Journal.h
+++ b/Source/Control/include/balsamlatch/Control/Journal.h
@@ -44,6 +44,8 @@
   void stop();
 
   bool busy() const { return Busy; }
+  /// When the append that is under way began.
+  Instant begunAt() const { return BegunAt; }
   /// When the last try of an append was sent.
   Instant lastSentAt() const { return LastSentAt; }
   /// The number of the next record.
@@ -64,6 +66,7 @@
   RecordStore &Store;
   LogSink &Log;
   bool Busy = false;
+  Instant BegunAt{};
   Instant LastSentAt{};
   std::uint64_t Next = 1;
   /// Records before this are removed.
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -18,6 +18,9 @@
 
 constexpr Duration PlanPeriod = std::chrono::milliseconds(8);
 constexpr Duration ForgetPeriod = std::chrono::seconds(1);
+/// Host lists in a row without a worker after which its life is over: one may
+/// be older than the worker.
+constexpr unsigned ListsToBelieve = 2;
 /// Covers what a timer is late and the way of an order.
 constexpr Duration LapseMargin = std::chrono::milliseconds(200);
 
@@ -67,6 +70,14 @@
 void Dispatcher::configure(std::shared_ptr<const Deployment> NewConfig) {
   Config = std::move(NewConfig);
   PlanNeeded = true;
+  if (Book == nullptr) {
+    return;
+  }
+  // An earlier holder may have recorded the last end of a job but not its
+  // close; and the attempts that are allowed may have changed.
+  for (const JobId &Id : OpenJobs) {
+    closeIfDone(Id);
+  }
 }
 
 void Dispatcher::adoptPlaced(const jobs::Job &Owner) {
@@ -476,6 +487,17 @@
   }
 }
 
+void Dispatcher::setHostedWorkers(const std::set<std::string> &Ids) {
+  for (auto &[Id, Worker] : Workers) {
+    if (Ids.contains(Id)) {
+      Worker.UnhostedLists = 0;
+    } else if ((Worker.Silent || !Worker.Contacted) &&
+               ++Worker.UnhostedLists >= ListsToBelieve) {
+      loseAll(Worker, "no host runs its worker any more");
+    }
+  }
+}
+
 void Dispatcher::hostTaken(const std::string &WorkerId) {
   const auto Found = Workers.find(WorkerId);
   if (Book == nullptr || Found == Workers.end()) {
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -53,6 +53,12 @@
     takeLife(Worker, Report.Born);
   }
   PlanNeeded = PlanNeeded || Worker.Silent || !Worker.Contacted;
+  if (!Worker.Contacted) {
+    // The worker has this term's token now, so no earlier holder can renew
+    // there any longer.
+    Worker.LapsedAt = {};
+    extendLapse(Worker, Now);
+  }
   Worker.Silent = false;
   Worker.Contacted = true;
   Worker.Clock = Report.Clock;
--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -151,20 +151,25 @@
 
 void HostKeeper::setHosts(std::vector<HostRecord> Now, Dispatcher &Workers) {
   Hosts.clear();
+  std::set<std::string> WorkerIds;
   for (HostRecord &Host : Now) {
+    if (Host.Status != HostStatus::Down) {
+      WorkerIds.insert(Host.WorkerId);
+    }
     HostName Name = Host.Name;
     Hosts.emplace(std::move(Name), std::move(Host));
   }
   settle(Workers);
+  Workers.setHostedWorkers(WorkerIds);
 }
 
-void HostKeeper::addWave(const WaveRequest &Request) {
+void HostKeeper::addWave(const WaveRequest &Request, Duration UnderWay) {
   if (Waves.contains(Request.Number)) {
     return;
   }
   Wave &New = Waves[Request.Number];
   New.Request = Request;
-  New.Since = Time.now();
+  New.Since = Time.now() - UnderWay;
   Log.write(LogLevel::Info, "wave-begun",
             {{"wave", Request.Number},
              {"hosts", Request.Hosts.size()},
@@ -252,7 +257,7 @@
                                 ? Drains[0]
                                 : usedOf(*A, Workers) < usedOf(*B, Workers);
                    });
-  const unsigned Away = away(Which);
+  unsigned Away = away(Which);
   const unsigned Wanted =
       std::min(drainsWanted(Which, Left), Which.Request.MaxAway);
   for (const HostRecord *Host : Open) {
@@ -266,7 +271,8 @@
         (endsNothing(Worker) || Overdue)) {
       give({Host->Name, Host->WorkerId, Which.Request.Number, {}}, Workers,
            Into);
-      return; // the next decision sees what this one takes away
+      ++Away;
+      continue;
     }
     if (Draining == Which.Draining.end() && Which.Draining.size() < Wanted) {
       Which.Draining[Host->Name] = Now;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -82,6 +82,9 @@
   /// An order that ends all that runs on the worker is about to be sent, or
   /// was refused.
   void setLeaving(const std::string &WorkerId, bool Leaving);
+  /// The workers that run on some host. What can't be reached and isn't among
+  /// them in two lists has ended.
+  void setHostedWorkers(const std::set<std::string> &Ids);
   /// The worker's host was moved or maintained: all that ran there has ended.
   void hostTaken(const std::string &WorkerId);
 
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
@@ -56,8 +56,9 @@
   void begin();
   /// The hosts as listed after all orders that were answered so far.
   void setHosts(std::vector<HostRecord> Hosts, Dispatcher &Workers);
-  /// A wave that is already completed is not given again.
-  void addWave(const WaveRequest &Wave);
+  /// A wave that is already completed is not given again. \p UnderWay: for how
+  /// long earlier holders have known of it.
+  void addWave(const WaveRequest &Wave, Duration UnderWay = {});
   bool hasWave(std::uint64_t Number) const { return Waves.contains(Number); }
   /// Whether orders are open or a wave is under way, so that the host list
   /// matters now.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -65,6 +65,8 @@
   Instant NextHoldAt{};
   Instant LastReportAt{};
   WorkerClock Clock{};
+  /// Host lists in a row that no host with this worker stood in.
+  unsigned UnhostedLists = 0;
   /// Local time that Clock was received at.
   Instant ClockAt{};
   /// Nothing that was ordered so far runs after this time.
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -195,3 +195,55 @@
   BOOST_TEST((W.job("b").Record.State == jobs::JobState::Completed));
   BOOST_TEST(joined(W.faults()) == "");
 }
+
+BOOST_AUTO_TEST_CASE(ALaterHolderClosesWhatAnEarlierOneDidNot) {
+  World W(1);
+  for (FakeWorker &Each : W.Workers) {
+    Each.FailsAll = true;
+  }
+  // The journal has the last failure but not the close.
+  const JobId Job("a");
+  W.submit("a", simpleJob(1));
+  W.run(2s);
+  BOOST_REQUIRE((W.job("a").Record.State == jobs::JobState::Failed));
+  jobs::JobSnapshot Before = W.job("a").Record;
+  Before.State = jobs::JobState::Running;
+  W.Book.apply(Before, 99);
+  W.changeHolder();
+  W.run(2s);
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Failed));
+  BOOST_TEST(W.started("a") == 3);
+}
+
+BOOST_AUTO_TEST_CASE(OnceAWorkerKnowsTheHolderOnlyItsOwnLeasesCount) {
+  World W(2);
+  W.submit("a", lastingJob(1));
+  W.run(500ms);
+  W.changeHolder();
+  W.run(500ms);
+  const std::string First = W.Past.Runs.front().Worker;
+  (First == "w0" ? W.Workers[0] : W.Workers[1]).Down = true;
+  W.run(6500ms);
+  BOOST_TEST(W.started("a") == 2);
+  BOOST_TEST(joined(W.faults()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatNoHostRunsHasEnded) {
+  World W(2);
+  W.submit("a", lastingJob(1));
+  W.run(500ms);
+  const std::string First = W.Past.Runs.front().Worker;
+  FakeWorker &Gone = First == "w0" ? W.Workers[0] : W.Workers[1];
+  Gone.crash(W.Time.now(), W.Past);
+  Gone.Record.Life.Born -= 1000; // the registration is still the old one
+  Gone.Down = true;
+  W.changeHolder();
+  W.run(1s);
+  const std::set<std::string> Hosted = {First == "w0" ? "w1" : "w0"};
+  W.Decisions->setHostedWorkers(Hosted);
+  W.run(100ms);
+  BOOST_TEST(W.started("a") == 1);
+  W.Decisions->setHostedWorkers(Hosted);
+  W.run(100ms);
+  BOOST_TEST(W.started("a") == 2);
+}
--- a/Tests/Dispatch/HostKeeperTest.cpp
+++ b/Tests/Dispatch/HostKeeperTest.cpp
@@ -82,7 +82,7 @@
   F.W.run(3s);
   BOOST_TEST(F.decide().empty());
   F.W.run(1s);
-  BOOST_TEST(F.decide().size() == 1);
+  BOOST_TEST(F.decide().size() == 2);
 }
 
 BOOST_AUTO_TEST_CASE(AWaveKeepsItsBound) {
