--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -48,8 +48,8 @@
 
 Holder::Holder(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
                RecordStore &Target, WorkerPort &Orders, HolderOptions Wanted)
-    : Loop(Runner), Time(TimeSource), Log(Sink), Store(Target),
-      Workers(Orders), Settings(std::move(Wanted)),
+    : Loop(Runner), Time(TimeSource), Log(Sink), Store(Target), Workers(Orders),
+      Settings(std::move(Wanted)),
       Lead(Runner, Target, Sink, {Settings.Key}, [this] { leadChanged(); }),
       Records(Runner, TimeSource, Target, Sink),
       Decisions(TimeSource, Settings.Dispatch, Sink) {}
@@ -205,12 +205,12 @@
 
 void Holder::renew() {
   const Instant SentAt = Time.now();
-  Store.keepLease(Lease, [this, SentAt, Term = TermNumber](
-                             const LeaseReply &Reply) {
-    if (Term == TermNumber) {
-      renewed(SentAt, Reply);
-    }
-  });
+  Store.keepLease(Lease,
+                  [this, SentAt, Term = TermNumber](const LeaseReply &Reply) {
+                    if (Term == TermNumber) {
+                      renewed(SentAt, Reply);
+                    }
+                  });
 }
 
 void Holder::renewed(Instant SentAt, const LeaseReply &Reply) {
@@ -270,32 +270,31 @@
     std::uint64_t Term;
 
     void operator()(const dispatch::HoldOrder &Hold) const {
-      Owner.Workers.hold(
-          Hold, [&H = Owner, T = Term, Id = Hold.To.WorkerId,
-                 SentAt = Owner.Time.now()](
-                    dispatch::OrderOutcome Outcome,
-                    const dispatch::HoldReport &Report) {
-            if (T == H.TermNumber) {
-              H.Decisions.holdAnswered(Id, SentAt, Outcome, Report);
-              H.record();
-            }
-          });
-    }
-    void operator()(const dispatch::StartOrder &Start) const {
-      Owner.Workers.start(Start, [&H = Owner, T = Term,
-                                  Start](dispatch::OrderOutcome Outcome) {
+      Owner.Workers.hold(Hold, [&H = Owner, T = Term, Id = Hold.To.WorkerId,
+                                SentAt = Owner.Time.now()](
+                                   dispatch::OrderOutcome Outcome,
+                                   const dispatch::HoldReport &Report) {
         if (T == H.TermNumber) {
-          H.Decisions.startAnswered(Start, Outcome);
+          H.Decisions.holdAnswered(Id, SentAt, Outcome, Report);
+          H.record();
         }
       });
     }
+    void operator()(const dispatch::StartOrder &Start) const {
+      Owner.Workers.start(
+          Start, [&H = Owner, T = Term, Start](dispatch::OrderOutcome Outcome) {
+            if (T == H.TermNumber) {
+              H.Decisions.startAnswered(Start, Outcome);
+            }
+          });
+    }
     void operator()(const dispatch::StopOrder &Stop) const {
-      Owner.Workers.stop(Stop, [&H = Owner, T = Term,
-                                Stop](dispatch::OrderOutcome Outcome) {
-        if (T == H.TermNumber) {
-          H.Decisions.stopAnswered(Stop, Outcome);
-        }
-      });
+      Owner.Workers.stop(
+          Stop, [&H = Owner, T = Term, Stop](dispatch::OrderOutcome Outcome) {
+            if (T == H.TermNumber) {
+              H.Decisions.stopAnswered(Stop, Outcome);
+            }
+          });
     }
     void operator()(const dispatch::PaceOrder &Pace) const {
       Owner.Workers.pace(Pace, [](dispatch::OrderOutcome) {});
--- a/Source/Control/HolderRequests.cpp
+++ b/Source/Control/HolderRequests.cpp
@@ -60,8 +60,8 @@
     Done({JobReply::Done});
     return;
   }
-  Requested.emplace_back(jobs::JobClosed{What.Job, jobs::JobState::Cancelled,
-                                         Time.wallNow()});
+  Requested.emplace_back(
+      jobs::JobClosed{What.Job, jobs::JobState::Cancelled, Time.wallNow()});
   Log.write(LogLevel::Info, "job-cancelled", {{"job", What.Job.Text}});
   WaitForCancel.emplace(What.Job, Done);
   record();
--- a/Source/Control/HostControl.cpp
+++ b/Source/Control/HostControl.cpp
@@ -47,15 +47,15 @@
     const json::value Parsed = json::parse(Text);
     const json::object &Fields = Parsed.as_object();
     WaveProgress Progress;
-    Progress.Since = WallTime(
-        Duration(Fields.at("since_us").to_number<std::int64_t>()));
+    Progress.Since =
+        WallTime(Duration(Fields.at("since_us").to_number<std::int64_t>()));
     for (const json::value &Name : Fields.at("done").as_array()) {
       Progress.Done.emplace_back(std::string(Name.as_string()));
     }
     return Progress;
   } catch (const std::exception &Fault) {
-    return absl::DataLossError(fmt::format(
-        "the progress of a wave can't be read: {}", Fault.what()));
+    return absl::DataLossError(
+        fmt::format("the progress of a wave can't be read: {}", Fault.what()));
   }
 }
 
@@ -104,24 +104,25 @@
 
 void HostControl::readReports(const std::string &Prefix,
                               std::function<void()> Then) {
-  Store.list(Prefix, "", [this, Prefix, Then = std::move(Then),
-                          Mine = Term](const PageReply &Reply) {
-    if (Mine != Term) {
-      return;
-    }
-    if (!Reply.Status.ok()) {
-      Loop.after(RetryPause, [this, Prefix, Then, Mine] {
-        if (Mine == Term) {
-          readReports(Prefix, Then);
-        }
-      });
-      return;
-    }
-    for (const StoredItem &Item : Reply.Items) {
-      Reported[Item.Key] = Item.Value;
-    }
-    Then();
-  });
+  Store.list(Prefix, "",
+             [this, Prefix, Then = std::move(Then),
+              Mine = Term](const PageReply &Reply) {
+               if (Mine != Term) {
+                 return;
+               }
+               if (!Reply.Status.ok()) {
+                 Loop.after(RetryPause, [this, Prefix, Then, Mine] {
+                   if (Mine == Term) {
+                     readReports(Prefix, Then);
+                   }
+                 });
+                 return;
+               }
+               for (const StoredItem &Item : Reply.Items) {
+                 Reported[Item.Key] = Item.Value;
+               }
+               Then();
+             });
 }
 
 void HostControl::addOpenWaves() {
@@ -139,7 +140,8 @@
 }
 
 void HostControl::takeUp(const dispatch::WaveRequest &Wave) {
-  WallTime &Since = Begun.try_emplace(Wave.Number, Time.wallNow()).first->second;
+  WallTime &Since =
+      Begun.try_emplace(Wave.Number, Time.wallNow()).first->second;
   const auto Kept = Reported.find(progressKey(Wave.Number));
   std::vector<HostName> Done;
   if (Kept != Reported.end()) {
@@ -206,7 +208,7 @@
       return;
     }
     ListInFlight = false;
-    NextListAt = Time.now() + (!Reply.ok()      ? RetryPause
+    NextListAt = Time.now() + (!Reply.ok()     ? RetryPause
                                : Keeper.busy() ? ListPeriod
                                                : QuietListPeriod);
     if (!Reply.ok()) {
@@ -256,9 +258,9 @@
     }
     return;
   }
-  Log.write(LogLevel::Info, "host-order-refused",
-            {{"host", Order.Host.Text},
-             {"outcome", static_cast<int>(Outcome)}});
+  Log.write(
+      LogLevel::Info, "host-order-refused",
+      {{"host", Order.Host.Text}, {"outcome", static_cast<int>(Outcome)}});
   Keeper.refused(Order, Jobs.dispatcher());
 }
 
@@ -284,17 +286,17 @@
   Transaction What;
   What.Conditions = {Jobs.leadCondition()};
   What.Writes = {{Key, Value, 0}};
-  Store.commit(std::move(What), [this, Key, Value,
-                                 Mine = Term](const TransactionReply &Reply) {
-    if (Mine != Term) {
-      return;
-    }
-    WriteInFlight.erase(Key);
-    if (Reply.Status.ok()) {
-      Reported[Key] = Value;
-    }
-    // Otherwise the next decision writes again.
-  });
+  Store.commit(std::move(What),
+               [this, Key, Value, Mine = Term](const TransactionReply &Reply) {
+                 if (Mine != Term) {
+                   return;
+                 }
+                 WriteInFlight.erase(Key);
+                 if (Reply.Status.ok()) {
+                   Reported[Key] = Value;
+                 }
+                 // Otherwise the next decision writes again.
+               });
 }
 
 } // namespace balsamlatch::control
--- a/Source/Control/JobRouter.cpp
+++ b/Source/Control/JobRouter.cpp
@@ -38,8 +38,9 @@
 
 void JobRouter::attempt(const std::shared_ptr<Try> &What) {
   if (Local.leading()) {
-    Local.request(What->What,
-                  [this, What](const JobReply &Reply) { answered(What, Reply); });
+    Local.request(What->What, [this, What](const JobReply &Reply) {
+      answered(What, Reply);
+    });
     return;
   }
   const std::optional<HolderRecord> Known = Local.known();
--- a/Source/Control/JobWire.cpp
+++ b/Source/Control/JobWire.cpp
@@ -19,12 +19,12 @@
 
 struct RequestEncoder {
   http::Request operator()(const SubmitJob &What) const {
-    return {"POST",
-            fmt::format("{}{}?queue={}", JobPath, What.Job.Text,
-                        What.Queue.Text),
-            {{"content-type", "application/json"}},
-            jobs::encodeSpec(What.Spec),
-            ""};
+    return {
+        "POST",
+        fmt::format("{}{}?queue={}", JobPath, What.Job.Text, What.Queue.Text),
+        {{"content-type", "application/json"}},
+        jobs::encodeSpec(What.Spec),
+        ""};
   }
   http::Request operator()(const CancelJob &What) const {
     return {"DELETE", fmt::format("{}{}", JobPath, What.Job.Text), {}, "", ""};
--- a/Source/Control/PrefixMirror.cpp
+++ b/Source/Control/PrefixMirror.cpp
@@ -64,9 +64,9 @@
                Revision = ListingRevision;
                Complete = true;
                if (!std::exchange(Reachable, true)) {
-                 Log.write(LogLevel::Info, "store-regained",
-                           {{"prefix", Settings.Prefix},
-                            {"revision", Revision}});
+                 Log.write(
+                     LogLevel::Info, "store-regained",
+                     {{"prefix", Settings.Prefix}, {"revision", Revision}});
                }
                Changed();
                watch();
@@ -87,29 +87,30 @@
 }
 
 void PrefixMirror::watch() {
-  Store.watch(Settings.Prefix, Revision, Settings.Wait,
-              [this, Mine = *Generation, Now = Generation](ChangesReply Reply) {
-                if (Mine != *Now) {
-                  return;
-                }
-                if (!Reply.Status.ok()) {
-                  // The listing tells what a lost watch may have missed.
-                  retry(Reply.Status);
-                  return;
-                }
-                Revision = std::max(Revision, Reply.Revision);
-                if (Reply.Changes.empty()) {
-                  watch();
-                  return;
-                }
-                apply(Reply.Changes);
-                Changed();
-                Loop.after(Settings.Gap, [this, Mine, Now] {
-                  if (Mine == *Now) {
-                    watch();
-                  }
-                });
-              });
+  Store.watch(
+      Settings.Prefix, Revision, Settings.Wait,
+      [this, Mine = *Generation, Now = Generation](const ChangesReply &Reply) {
+        if (Mine != *Now) {
+          return;
+        }
+        if (!Reply.Status.ok()) {
+          // The listing tells what a lost watch may have missed.
+          retry(Reply.Status);
+          return;
+        }
+        Revision = std::max(Revision, Reply.Revision);
+        if (Reply.Changes.empty()) {
+          watch();
+          return;
+        }
+        apply(Reply.Changes);
+        Changed();
+        Loop.after(Settings.Gap, [this, Mine, Now] {
+          if (Mine == *Now) {
+            watch();
+          }
+        });
+      });
 }
 
 void PrefixMirror::apply(const std::vector<Change> &Changes) {
--- a/Source/Control/include/balsamlatch/Control/Holder.h
+++ b/Source/Control/include/balsamlatch/Control/Holder.h
@@ -61,9 +61,7 @@
   bool leading() const { return Stage == Leading; }
   /// Leads, and the lease is certainly in force.
   bool certain() const;
-  dispatch::FencingToken token() const {
-    return dispatch::FencingToken(Token);
-  }
+  dispatch::FencingToken token() const { return dispatch::FencingToken(Token); }
   /// Holds in the store as long as this term lasts.
   Condition leadCondition() const { return {Settings.Key, Token}; }
   const dispatch::Dispatcher &dispatcher() const { return Decisions; }
--- a/Source/Control/include/balsamlatch/Control/Journal.h
+++ b/Source/Control/include/balsamlatch/Control/Journal.h
@@ -34,7 +34,8 @@
 
   /// Appends under the holder's key at its revision. One append at a time.
   /// Tries until the outcome is known or stop() is called.
-  void append(const Condition &Holder, const std::vector<jobs::JobEvent> &Events,
+  void append(const Condition &Holder,
+              const std::vector<jobs::JobEvent> &Events,
               std::function<void(Result)> Done);
 
   /// Removes records before \p Number, a few with each append.
--- a/Source/Control/include/balsamlatch/Control/Ports.h
+++ b/Source/Control/include/balsamlatch/Control/Ports.h
@@ -51,7 +51,8 @@
 /// Moves and maintains hosts. All that runs on an ordered host ends.
 class HostPort {
 public:
-  using Listed = std::function<void(absl::StatusOr<std::vector<dispatch::HostRecord>>)>;
+  using Listed =
+      std::function<void(absl::StatusOr<std::vector<dispatch::HostRecord>>)>;
   using Done = std::function<void(HostOutcome)>;
 
   virtual ~HostPort() = default;
--- a/Source/Daemon/Daemon.cpp
+++ b/Source/Daemon/Daemon.cpp
@@ -7,12 +7,12 @@
 
 #include "balsamlatch/Daemon/Daemon.h"
 
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Daemon/CallerFront.h"
 #include "balsamlatch/Daemon/ClaimLink.h"
 #include "balsamlatch/Daemon/DecisionMemory.h"
 #include "balsamlatch/Daemon/DecisionThread.h"
-#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Daemon/FleetThread.h"
 #include "balsamlatch/Daemon/OperatorFront.h"
 #include "balsamlatch/Daemon/PeerLink.h"
--- a/Source/Daemon/include/balsamlatch/Daemon/CallerFront.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/CallerFront.h
@@ -7,10 +7,10 @@
 #define BALSAMLATCH_DAEMON_CALLERFRONT_H
 
 #include "balsamlatch/Base/Clock.h"
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Base/Log.h"
 #include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Daemon/DecisionThread.h"
-#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Daemon/Settings.h"
 #include "balsamlatch/Http/Server.h"
 #include "balsamlatch/Platform/Worker.h"
--- a/Source/Daemon/include/balsamlatch/Daemon/ClaimLink.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/ClaimLink.h
@@ -6,8 +6,8 @@
 #define BALSAMLATCH_DAEMON_CLAIMLINK_H
 
 #include "balsamlatch/Base/Clock.h"
-#include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Base/EventLoop.h"
+#include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Placement/ClaimKeeper.h"
 #include "balsamlatch/Platform/Store.h"
 
--- a/Source/Daemon/include/balsamlatch/Daemon/OperatorFront.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/OperatorFront.h
@@ -6,10 +6,10 @@
 #define BALSAMLATCH_DAEMON_OPERATORFRONT_H
 
 #include "balsamlatch/Base/Clock.h"
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Base/Log.h"
 #include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Daemon/DecisionMemory.h"
-#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Daemon/MetricsPage.h"
 #include "balsamlatch/Daemon/Settings.h"
 #include "balsamlatch/Daemon/StatusPage.h"
--- a/Source/Daemon/include/balsamlatch/Daemon/PeerLink.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/PeerLink.h
@@ -6,10 +6,10 @@
 #define BALSAMLATCH_DAEMON_PEERLINK_H
 
 #include "balsamlatch/Base/Clock.h"
+#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Base/Log.h"
 #include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Daemon/DecisionThread.h"
-#include "balsamlatch/Base/EventLoop.h"
 #include "balsamlatch/Daemon/Settings.h"
 #include "balsamlatch/Fleet/Controller.h"
 #include "balsamlatch/Http/Client.h"
--- a/Source/Daemon/include/balsamlatch/Daemon/StoreLink.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/StoreLink.h
@@ -5,8 +5,8 @@
 #ifndef BALSAMLATCH_DAEMON_STORELINK_H
 #define BALSAMLATCH_DAEMON_STORELINK_H
 
-#include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Base/EventLoop.h"
+#include "balsamlatch/Daemon/Board.h"
 #include "balsamlatch/Platform/HostList.h"
 #include "balsamlatch/Platform/Store.h"
 
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -276,8 +276,9 @@
   if (Owner->OpenTasks <= Done) {
     State = jobs::JobState::Completed;
   } else {
-    const Queue *From =
-        Config == nullptr ? nullptr : Config->find(Owner->Record.Accepted.Queue);
+    const Queue *From = Config == nullptr
+                            ? nullptr
+                            : Config->find(Owner->Record.Accepted.Queue);
     if (From == nullptr || Owner->worstFailures() < From->MaxAttempts) {
       return;
     }
@@ -285,11 +286,11 @@
   }
   CloseProposed.insert(Id);
   Events.emplace_back(jobs::JobClosed{Id, State, Time.wallNow()});
-  Log.write(LogLevel::Info, "job-closed",
-            {{"job", Id.Text},
-             {"state", State == jobs::JobState::Completed ? "completed"
-                                                          : "failed"},
-             {"failures", Owner->worstFailures()}});
+  Log.write(
+      LogLevel::Info, "job-closed",
+      {{"job", Id.Text},
+       {"state", State == jobs::JobState::Completed ? "completed" : "failed"},
+       {"failures", Owner->worstFailures()}});
 }
 
 void Dispatcher::release(WorkerState &Worker, RunState &Run) {
@@ -458,9 +459,8 @@
   Order.Task = Task;
   Order.Run = Run.Run;
   Order.SpecText = Owner->spec().Text;
-  Order.LeaseUntil =
-      Worker.clockAt(Now) +
-      std::chrono::duration_cast<WorkerClock>(Settings.RunLease);
+  Order.LeaseUntil = Worker.clockAt(Now) +
+                     std::chrono::duration_cast<WorkerClock>(Settings.RunLease);
   Order.Checkpoint = Owner->find(Task)->Checkpoint;
   extendLapse(Worker, Now);
   Run.Phase = RunPhase::Ordered;
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -57,14 +57,14 @@
 /// Larger is better. Work is packed, so that other workers stay free for
 /// maintenance and moves; lasting work shares the workers that have some.
 double fitness(const WorkerState &Worker, const StepSpec &Step) {
-  const double Capacity =
-      static_cast<double>(std::max<std::int64_t>(1, Worker.Record.Capacity.CpuMilli));
+  const double Capacity = static_cast<double>(
+      std::max<std::int64_t>(1, Worker.Record.Capacity.CpuMilli));
   const double Used = static_cast<double>(Worker.Claimed.CpuMilli) / Capacity;
   double Score = Used;
   if (Step.Lasting || Step.Filler) {
-    Score += static_cast<double>(std::count_if(
-        Worker.Runs.begin(), Worker.Runs.end(),
-        [](const auto &Run) { return Run.second.Lasting; }));
+    Score += static_cast<double>(
+        std::count_if(Worker.Runs.begin(), Worker.Runs.end(),
+                      [](const auto &Run) { return Run.second.Lasting; }));
   }
   if (!Step.PreferredRack.empty() && Worker.hasLabel(Step.PreferredRack)) {
     Score += 100;
@@ -207,9 +207,8 @@
   }
 }
 
-WorkerState *
-Dispatcher::choose(const Candidate &Which, unsigned Index,
-                   const std::vector<WorkerState *> &Among) const {
+WorkerState *Dispatcher::choose(const Candidate &Which, unsigned Index,
+                                const std::vector<WorkerState *> &Among) const {
   const StepSpec &Step = Which.spec();
   const TaskRef Task = Which.task(Index);
   const Resources Claim = claimOf(Step);
@@ -218,7 +217,8 @@
   double BestScore = 0;
   for (WorkerState *Worker : Among) {
     if (!Claim.fitsInto(Worker->room()) || Worker->Runs.contains(Task) ||
-        (!Step.RequiredLabel.empty() && !Worker->hasLabel(Step.RequiredLabel)) ||
+        (!Step.RequiredLabel.empty() &&
+         !Worker->hasLabel(Step.RequiredLabel)) ||
         (Step.MaxPerWorker > 0 &&
          sameStep(*Worker, Task) >= Step.MaxPerWorker)) {
       continue;
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -66,8 +66,8 @@
   Worker.LastReportAt = Now;
   takeEnds(Worker, Report);
   takeRunning(Worker, Report, SentAt);
-  Worker.NextHoldAt = Now + (Worker.Runs.empty() ? Settings.IdleHoldPeriod
-                                                 : Settings.HoldGap);
+  Worker.NextHoldAt =
+      Now + (Worker.Runs.empty() ? Settings.IdleHoldPeriod : Settings.HoldGap);
   if (Worker.EndsSeen != Worker.EndsRecorded) {
     Worker.NextHoldAt = Now + UnrecordedHoldPeriod;
   }
--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -220,10 +220,10 @@
 }
 
 unsigned HostKeeper::drainsWanted(const Wave &Which, std::size_t Left) const {
-  const Duration Allowed = Which.Request.TimeAllowed *
-                           (100 - Settings.WaveSparePercent) / 100;
-  const Duration Rest = std::max<Duration>(
-      UsualTurn, Allowed - (Time.now() - Which.Since));
+  const Duration Allowed =
+      Which.Request.TimeAllowed * (100 - Settings.WaveSparePercent) / 100;
+  const Duration Rest =
+      std::max<Duration>(UsualTurn, Allowed - (Time.now() - Which.Since));
   const auto Turns = static_cast<std::size_t>(Rest / UsualTurn);
   return static_cast<unsigned>((Left + Turns - 1) / Turns);
 }
@@ -281,8 +281,7 @@
   }
 }
 
-std::vector<PoolHost>
-HostKeeper::poolHosts(const Dispatcher &Workers) const {
+std::vector<PoolHost> HostKeeper::poolHosts(const Dispatcher &Workers) const {
   std::vector<PoolHost> All;
   for (const auto &[Name, Host] : Hosts) {
     if (Host.Status == HostStatus::Down) {
@@ -323,8 +322,8 @@
   std::erase_if(Moving, [&](const auto &Each) {
     return Now - Each.second.Since > Settings.MoveTime + ReturnMargin;
   });
-  const PoolPlan Plan = Pools.plan(Now, Config.Pools, demandOf(Jobs, Config),
-                                   poolHosts(Workers));
+  const PoolPlan Plan =
+      Pools.plan(Now, Config.Pools, demandOf(Jobs, Config), poolHosts(Workers));
   for (const PoolPlan::Step &Step : Plan.Moves) {
     const HostRecord *Host = find(Step.Host);
     Moving[Step.Host] = {Step.To, Now};
@@ -407,10 +406,10 @@
 
 std::vector<HostName> HostKeeper::done(std::uint64_t Number) const {
   const auto Found = Waves.find(Number);
-  return Found == Waves.end() ? std::vector<HostName>()
-                              : std::vector<HostName>(
-                                    Found->second.Done.begin(),
-                                    Found->second.Done.end());
+  return Found == Waves.end()
+             ? std::vector<HostName>()
+             : std::vector<HostName>(Found->second.Done.begin(),
+                                     Found->second.Done.end());
 }
 
 } // namespace balsamlatch::dispatch
--- a/Source/Dispatch/Ordering.cpp
+++ b/Source/Dispatch/Ordering.cpp
@@ -17,8 +17,7 @@
 constexpr double MaxWorth = 4;
 
 double taskWork(const jobs::StepSpec &Step) {
-  const double Seconds =
-      std::chrono::duration<double>(Step.Estimate).count();
+  const double Seconds = std::chrono::duration<double>(Step.Estimate).count();
   return static_cast<double>(std::max<std::int64_t>(1, Step.Need.CpuMilli)) *
          std::max(Seconds, 0.001);
 }
@@ -38,10 +37,10 @@
     std::size_t Open = Step.Count;
     if (Found != Owner.Record.Occurrences.end()) {
       const jobs::StepRecord &Tasks = Found->second[Number];
-      Open = std::count_if(
-          Tasks.begin(), Tasks.end(), [](const jobs::TaskRecord &Task) {
-            return Task.Phase != jobs::TaskPhase::Done;
-          });
+      Open = std::count_if(Tasks.begin(), Tasks.end(),
+                           [](const jobs::TaskRecord &Task) {
+                             return Task.Phase != jobs::TaskPhase::Done;
+                           });
     }
     Duration Begin{};
     for (const unsigned Earlier : Step.After) {
@@ -70,8 +69,9 @@
   Result.Since = Owner.dueAt(Occurrence);
   const Remaining Rest = remainingOf(Owner, Occurrence);
   const double Whole = workOf(Owner.spec());
-  const double Worth = std::min(
-      MaxWorth, FixedWorth + (1 - FixedWorth) * Whole / std::max(MeanWork, 1.0));
+  const double Worth =
+      std::min(MaxWorth,
+               FixedWorth + (1 - FixedWorth) * Whole / std::max(MeanWork, 1.0));
   Result.Cost = Rest.Work / Worth;
   if (Owner.spec().lasting()) {
     Result.Group = Rank::Lasting;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
@@ -71,6 +71,21 @@
 
 class PoolPlanner {
 public:
+  /// What is known of one pool during a plan.
+  struct Balance {
+    unsigned Have = 0;
+    unsigned Want = 0;
+    bool Standby = false;
+
+    bool shorter(const Balance &Other) const {
+      // Compares Have / Want without a division.
+      return std::uint64_t{Have} * Other.Want <
+             std::uint64_t{Other.Have} * Want;
+    }
+  };
+
+  using Balances = std::map<PoolName, Balance>;
+
   explicit PoolPlanner(PoolPlannerOptions Options) : Settings(Options) {}
 
   void reset();
@@ -85,6 +100,8 @@
     Instant SurplusSince{};
   };
 
+  void giveBack(Instant Now, const PoolName &Standby, Balances &All,
+                const std::vector<PoolHost> &Hosts, PoolPlan &Plan);
   unsigned wanted(Instant Now, const PoolName &Pool, const PoolDemand &Demand,
                   const Resources &HostCapacity);
 
--- a/Source/Jobs/JobBook.cpp
+++ b/Source/Jobs/JobBook.cpp
@@ -10,8 +10,7 @@
 namespace {
 
 bool pending(const Job &Which) {
-  return Which.open() && !Which.Record.Begun &&
-         Which.spec().Times.Repeats == 0;
+  return Which.open() && !Which.Record.Begun && Which.spec().Times.Repeats == 0;
 }
 
 OccurrenceRecord emptyOccurrence(const JobSpec &Spec) {
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -116,8 +116,12 @@
 
 json::array taskArray(std::string_view Kind, const TaskRef &Task,
                       std::uint32_t Run) {
-  return {json::string_view(Kind), json::string(Task.Job.Text), Task.Occurrence,
-          Task.Step, Task.Index, Run};
+  return {json::string_view(Kind),
+          json::string(Task.Job.Text),
+          Task.Occurrence,
+          Task.Step,
+          Task.Index,
+          Run};
 }
 
 TaskRef readTask(ItemReader &In) {
@@ -149,8 +153,11 @@
 }
 
 json::array recordArray(const TaskRecord &Task) {
-  return {static_cast<int>(Task.Phase), Task.Run, Task.Failures,
-          json::string(Task.Worker.Id), Task.Worker.Born,
+  return {static_cast<int>(Task.Phase),
+          Task.Run,
+          Task.Failures,
+          json::string(Task.Worker.Id),
+          Task.Worker.Born,
           json::string(Task.Checkpoint)};
 }
 
--- a/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
@@ -149,9 +149,9 @@
   auto operator<=>(const JobSnapshot &) const = default;
 };
 
-using JobEvent = std::variant<JobAccepted, TaskPlaced, TaskEnded,
-                              CheckpointSaved, JobClosed, JobForgotten,
-                              JobSnapshot>;
+using JobEvent =
+    std::variant<JobAccepted, TaskPlaced, TaskEnded, CheckpointSaved, JobClosed,
+                 JobForgotten, JobSnapshot>;
 
 /// The job that an event is about.
 const JobId &jobOf(const JobEvent &Event);
--- a/Tests/Dispatch/HistoryTest.cpp
+++ b/Tests/Dispatch/HistoryTest.cpp
@@ -95,7 +95,7 @@
           true};
 }
 
-std::vector<std::string> verdict(History What, unsigned Steps = 1) {
+std::vector<std::string> verdict(const History &What, unsigned Steps = 1) {
   return check(What, {{JobId("j"), simpleJob(1, Steps)}}, 2);
 }
 
@@ -128,12 +128,10 @@
                        {}})
                   .empty());
   BOOST_TEST(!verdict({{trace(1, 1, 0, 1, RunEnd::Done)}, {}, {}}, 2).empty());
-  BOOST_TEST(!verdict({{trace(0, 1, 0, 9, RunEnd::Done)},
-                       {{Job, Instant(5s)}},
-                       {}})
-                  .empty());
-  BOOST_TEST(!verdict({{trace(0, 1, 9, 10, RunEnd::Done)},
-                       {},
-                       {{Job, Instant(5s)}}})
-                  .empty());
+  BOOST_TEST(
+      !verdict({{trace(0, 1, 0, 9, RunEnd::Done)}, {{Job, Instant(5s)}}, {}})
+           .empty());
+  BOOST_TEST(
+      !verdict({{trace(0, 1, 9, 10, RunEnd::Done)}, {}, {{Job, Instant(5s)}}})
+           .empty());
 }
--- a/Tests/Dispatch/HostKeeperTest.cpp
+++ b/Tests/Dispatch/HostKeeperTest.cpp
@@ -183,8 +183,8 @@
     Hosts.push_back(Host);
   }
   const std::vector<Pool> Pools = {{Busy}, {Idle}, {Spare, true}};
-  const PoolPlan Plan = Planner.plan(
-      Instant(1s), Pools, {{Busy, {{30000, 1000, 0}, 0}}}, Hosts);
+  const PoolPlan Plan =
+      Planner.plan(Instant(1s), Pools, {{Busy, {{30000, 1000, 0}, 0}}}, Hosts);
   BOOST_TEST(Plan.Moves.size() == 5); // nine wanted, four there
   unsigned FromSpare = 0;
   for (const PoolPlan::Step &Step : Plan.Moves) {
@@ -221,9 +221,8 @@
     Hosts[Number].Movable = true;
     Hosts[Number].Lasting = Number != 0;
   }
-  const PoolPlan Plan =
-      Planner.plan(Instant(1s), {{Busy}, {Other}},
-                   {{Busy, {{30000, 1000, 0}, 0}}}, Hosts);
+  const PoolPlan Plan = Planner.plan(Instant(1s), {{Busy}, {Other}},
+                                     {{Busy, {{30000, 1000, 0}, 0}}}, Hosts);
   BOOST_TEST(Plan.Moves.empty());
   BOOST_TEST(Plan.Drains.empty());
 }
--- a/Tests/Dispatch/World.cpp
+++ b/Tests/Dispatch/World.cpp
@@ -179,8 +179,7 @@
   ++Term;
   RecordInFlight = false;
   Requested.clear();
-  Decisions =
-      std::make_unique<Dispatcher>(Time, DispatchOptions(), Log);
+  Decisions = std::make_unique<Dispatcher>(Time, DispatchOptions(), Log);
   Decisions->begin(FencingToken(Term), Term, Book);
   Decisions->configure(Config);
 }
@@ -193,8 +192,8 @@
 }
 
 void World::cancel(const std::string &Id) {
-  Requested.emplace_back(jobs::JobClosed{
-      JobId(Id), jobs::JobState::Cancelled, Time.wallNow()});
+  Requested.emplace_back(
+      jobs::JobClosed{JobId(Id), jobs::JobState::Cancelled, Time.wallNow()});
 }
 
 void World::run(Duration Length) {
@@ -283,10 +282,9 @@
   const std::optional<Duration> Late =
       LateBy ? LateBy(Order) : std::optional<Duration>();
   const Duration Way = Late.value_or(WireTime);
-  const std::string &To =
-      std::visit([](const auto &Kind) -> const std::string & {
-        return Kind.To.WorkerId;
-      }, Order);
+  const std::string &To = std::visit(
+      [](const auto &Kind) -> const std::string & { return Kind.To.WorkerId; },
+      Order);
   const std::int64_t MeantFor = find(To)->Record.Life.Born;
   later(Way, [this, Order, Mine = Term, MeantFor, Lost, Late] {
     carryOut(Order, Mine, MeantFor, !Lost && !Late);
--- a/Tests/Dispatch/World.h
+++ b/Tests/Dispatch/World.h
@@ -75,8 +75,8 @@
   WorkerClock clock(Instant Now) const {
     return std::chrono::duration_cast<WorkerClock>(Now - Start);
   }
-  void end(const TaskRef &Task, const Active &Which, jobs::RunEnd How, Instant Now,
-           History &Into);
+  void end(const TaskRef &Task, const Active &Which, jobs::RunEnd How,
+           Instant Now, History &Into);
 
   Instant Start{};
   FencingToken Highest;
