dispatch, tests: End drains that lead to nothing; test control and adapter

Ruled out: a lost record (the book had the tasks waiting and ready).

Change: such a drain ends and pauses; hosts that drain or are maintained no longer count for their pool's size.

--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -11,6 +11,8 @@
 
 /// After an order a host counts as away for its maintenance and this.
 constexpr Duration ReturnMargin = std::chrono::milliseconds(700);
+/// How long a host takes work again after a drain that led to nothing.
+constexpr Duration DrainPause = std::chrono::seconds(3);
 /// What a host takes from its drain to its return, as long as nothing is known
 /// of the wave's hosts.
 constexpr Duration UsualTurn = std::chrono::seconds(6);
@@ -274,7 +276,15 @@
       ++Away;
       continue;
     }
-    if (Draining == Which.Draining.end() && Which.Draining.size() < Wanted) {
+    if (Overdue && !Allowed) {
+      // Its lasting work may need this very host to be whole again.
+      Workers.setCordoned(Host->WorkerId, false);
+      Which.Draining.erase(Draining);
+      Which.NoDrainBefore[Host->Name] = Now + DrainPause;
+      continue;
+    }
+    if (Draining == Which.Draining.end() && Which.Draining.size() < Wanted &&
+        Now >= Which.NoDrainBefore[Host->Name]) {
       Which.Draining[Host->Name] = Now;
       Workers.setCordoned(Host->WorkerId, true);
     }
@@ -284,8 +294,13 @@
 std::vector<PoolHost> HostKeeper::poolHosts(const Dispatcher &Workers) const {
   std::vector<PoolHost> All;
   for (const auto &[Name, Host] : Hosts) {
-    if (Host.Status == HostStatus::Down) {
-      continue;
+    const bool ForWave = std::any_of(
+        Waves.begin(), Waves.end(), [&, Key = Name](const auto &Each) {
+          return Each.second.Draining.contains(Key);
+        });
+    if (Host.Status == HostStatus::Down ||
+        Host.Status == HostStatus::Maintenance || ForWave) {
+      continue; // gives its pool nothing now
     }
     PoolHost View;
     View.Name = Name;
@@ -295,14 +310,10 @@
     if (Way != Moving.end()) {
       View.Pool = Way->second.To;
     }
-    const bool ForWave = std::any_of(
-        Waves.begin(), Waves.end(), [&, Key = Name](const auto &Each) {
-          return Each.second.Draining.contains(Key);
-        });
     const WorkerState *Worker = workerOf(Host, Workers);
     View.Movable = Host.Status == HostStatus::Up && Way == Moving.end() &&
                    !Ordered.contains(Name) && !Unsettled.contains(Name) &&
-                   !ForWave && (Worker == nullptr || !Worker->Record.Draining);
+                   (Worker == nullptr || !Worker->Record.Draining);
     View.Vacant = Worker == nullptr || Worker->Runs.empty();
     View.Lasting =
         Worker != nullptr &&
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
@@ -87,6 +87,8 @@
     std::set<HostName> Done;
     // Hosts kept free of new work, and since when.
     std::map<HostName, Instant> Draining;
+    // Hosts whose drain led to nothing, and when the next one may begin.
+    std::map<HostName, Instant> NoDrainBefore;
     // When the maintenance of hosts that were ordered began.
     std::map<HostName, Instant> Away;
   };
--- /dev/null
+++ b/Tests/Control/ControlTest.cpp
@@ -0,0 +1,273 @@
+/// \file
+/// The journal and the holder against a store that loses answers, carries
+/// writes out late, takes keys away and goes away.
+
+#define BOOST_TEST_MODULE Control
+#include "FakeStore.h"
+
+#include "balsamlatch/Control/Holder.h"
+#include "balsamlatch/Control/JobWire.h"
+#include "balsamlatch/Jobs/JournalCodec.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+using namespace balsamlatch;
+using namespace balsamlatch::control;
+using namespace balsamlatch::control::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Workers that never answer: no job of these tests needs one.
+class NoWorkers final : public WorkerPort {
+public:
+  void hold(const dispatch::HoldOrder &, HoldDone) override {}
+  void start(const dispatch::StartOrder &, Done) override {}
+  void stop(const dispatch::StopOrder &, Done) override {}
+  void pace(const dispatch::PaceOrder &, Done) override {}
+};
+
+jobs::JobEvent accepted(const std::string &Id) {
+  jobs::JobAccepted Event;
+  Event.Job = jobs::JobId(Id);
+  Event.Spec.Steps.emplace_back();
+  return Event;
+}
+
+struct Fixture {
+  EventLoop Loop;
+  SystemClock Time;
+  NullLog Log;
+  FakeStore Store{Loop};
+  NoWorkers Workers;
+
+  /// Runs the loop until the condition holds; false after two seconds.
+  template <typename Condition> bool runUntil(Condition Holds) {
+    const Instant End = Time.now() + 2s;
+    while (!Holds()) {
+      if (Time.now() > End) {
+        return false;
+      }
+      Loop.context().run_for(2ms);
+      Loop.context().restart();
+    }
+    return true;
+  }
+
+  void runFor(Duration Length) {
+    Loop.context().run_for(Length);
+    Loop.context().restart();
+  }
+};
+
+struct JournalFixture : Fixture {
+  Journal Records{Loop, Time, Store, Log};
+
+  JournalFixture() { Store.put("lead/jobs", "me"); }
+
+  Condition holder() const {
+    return {"lead/jobs", Store.Items.at("lead/jobs").Revision};
+  }
+
+  std::optional<Journal::Result> append(const std::string &Id) {
+    std::optional<Journal::Result> Came;
+    Records.append(holder(), {accepted(Id)},
+                   [&](Journal::Result Outcome) { Came = Outcome; });
+    runUntil([&] { return Came.has_value(); });
+    return Came;
+  }
+
+  std::size_t jobsAfterLoad() {
+    jobs::JobBook Book;
+    bool Done = false;
+    Records.load(Book, [&](const absl::Status &Loaded) {
+      BOOST_TEST(Loaded.ok());
+      Done = true;
+    });
+    runUntil([&] { return Done; });
+    return Book.jobs().size();
+  }
+};
+
+struct HolderFixture : Fixture {
+  std::shared_ptr<dispatch::Deployment> Config =
+      std::make_shared<dispatch::Deployment>();
+
+  HolderFixture() {
+    Config->Version = 1;
+    Config->Queues.resize(1);
+    Config->Queues.front().Name = jobs::QueueName("q");
+    Config->Queues.front().Pool = PoolName("p");
+  }
+
+  std::unique_ptr<Holder> holder(const std::string &Name) {
+    HolderOptions Options;
+    Options.Self = {Name, "127.0.0.1", 1};
+    auto New = std::make_unique<Holder>(Loop, Time, Log, Store, Workers,
+                                        Options);
+    New->configure(Config);
+    New->start();
+    return New;
+  }
+
+  std::optional<JobReply> ask(Holder &Whom, JobRequest What) {
+    auto Came = std::make_shared<std::optional<JobReply>>();
+    Whom.request(std::move(What),
+                 [Came](const JobReply &Reply) { *Came = Reply; });
+    runUntil([&] { return Came->has_value(); });
+    return *Came;
+  }
+
+  static SubmitJob job(const std::string &Id) {
+    SubmitJob What{jobs::JobId(Id), jobs::QueueName("q"), {}};
+    What.Spec.Steps.emplace_back();
+    return What;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(RecordsAreReadBackOverPages, JournalFixture) {
+  for (int Number = 0; Number < 8; ++Number) {
+    BOOST_TEST((append(fmt::format("j{}", Number)) ==
+                Journal::Result::Written));
+  }
+  BOOST_TEST(jobsAfterLoad() == 8);
+  BOOST_TEST(Records.next() == 9);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALostAnswerIsSettledByTryingAgain, JournalFixture) {
+  Store.LoseAnswers = 2;
+  BOOST_TEST((append("a") == Journal::Result::Written));
+  BOOST_TEST((append("b") == Journal::Result::Written));
+  BOOST_TEST(jobsAfterLoad() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(AWriteCarriedOutLateDoesNothing, JournalFixture) {
+  Store.DelayWrites = 1;
+  BOOST_TEST((append("a") == Journal::Result::Written));
+  BOOST_TEST((append("b") == Journal::Result::Written));
+  BOOST_TEST(jobsAfterLoad() == 2);
+}
+
+BOOST_FIXTURE_TEST_CASE(ADeposedHolderWritesNothing, JournalFixture) {
+  const Condition Old = holder();
+  Store.put("lead/jobs", "another");
+  std::optional<Journal::Result> Came;
+  Records.append(Old, {accepted("a")},
+                 [&](Journal::Result Outcome) { Came = Outcome; });
+  BOOST_TEST(runUntil([&] { return Came.has_value(); }));
+  BOOST_TEST((*Came == Journal::Result::Deposed));
+  BOOST_TEST(jobsAfterLoad() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(OldRecordsAreRemoved, JournalFixture) {
+  for (int Number = 0; Number < 5; ++Number) {
+    append(fmt::format("j{}", Number));
+  }
+  Records.dropBefore(4);
+  append("last");
+  BOOST_TEST(Records.oldest() == 4);
+  BOOST_TEST(!Store.Items.contains("journal/000000000003"));
+  BOOST_TEST(Store.Items.contains("journal/000000000004"));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAcceptedJobOutlivesItsHolder, HolderFixture) {
+  auto First = holder("one");
+  BOOST_TEST(runUntil([&] { return First->leading(); }));
+  BOOST_TEST((ask(*First, job("a"))->Outcome == JobReply::Done));
+  auto Second = holder("two");
+  First->retire();
+  BOOST_TEST(runUntil([&] { return Second->leading(); }));
+  BOOST_TEST((ask(*Second, AskJob{jobs::JobId("a")})->Outcome ==
+              JobReply::Done));
+  BOOST_TEST((ask(*Second, job("a"))->Outcome == JobReply::Done));
+  BOOST_TEST(Second->book().jobs().size() == 1);
+  BOOST_TEST((ask(*Second, AskJob{jobs::JobId("b")})->Outcome ==
+              JobReply::NoSuchJob));
+  BOOST_TEST((ask(*First, job("c"))->Outcome == JobReply::NotHolder));
+}
+
+BOOST_FIXTURE_TEST_CASE(AHolderWhoseKeyIsTakenAwayAcceptsNothing,
+                        HolderFixture) {
+  auto First = holder("one");
+  BOOST_TEST(runUntil([&] { return First->leading(); }));
+  Store.put("lead/jobs", encodeHolder({"two", "127.0.0.1", 2}));
+  const std::optional<JobReply> Reply = ask(*First, job("a"));
+  BOOST_TEST((Reply->Outcome == JobReply::Unknown ||
+              Reply->Outcome == JobReply::NotHolder));
+  BOOST_TEST(runUntil([&] { return !First->leading(); }));
+  for (const auto &[Key, Item] : Store.Items) {
+    BOOST_TEST(!Key.starts_with("journal/"));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(AStepsDownWhenItsLeaseIsGone, HolderFixture) {
+  auto First = holder("one");
+  BOOST_TEST(runUntil([&] { return First->leading(); }));
+  Store.expire(Store.Items.at("lead/jobs").Lease);
+  BOOST_TEST(runUntil([&] { return !First->leading(); }));
+  BOOST_TEST(runUntil([&] { return First->leading(); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(JobsAreRefusedAtOnceWhileTheStoreIsAway,
+                        HolderFixture) {
+  auto First = holder("one");
+  BOOST_TEST(runUntil([&] { return First->leading(); }));
+  Store.Away = true;
+  std::optional<JobReply> Early;
+  First->request(job("a"), [&](const JobReply &Reply) { Early = Reply; });
+  runFor(600ms);
+  BOOST_TEST(!Early.has_value());
+  std::optional<JobReply> Later;
+  First->request(job("b"), [&](const JobReply &Reply) { Later = Reply; });
+  BOOST_REQUIRE(Later.has_value());
+  BOOST_TEST((Later->Outcome == JobReply::Refused));
+  BOOST_TEST((Later->RetryAfter >= 1s));
+  // The one that was on its way is stored once the store is back.
+  Store.Away = false;
+  BOOST_TEST(runUntil([&] { return Early.has_value(); }));
+  BOOST_TEST((Early->Outcome == JobReply::Done));
+  BOOST_TEST(First->book().find(jobs::JobId("b")) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(RequestsBetweenEntriesRoundTrip) {
+  SubmitJob Submit{jobs::JobId("0123456789abcdef"), jobs::QueueName("q"), {}};
+  Submit.Spec.Text = "text";
+  Submit.Spec.Steps.resize(2);
+  Submit.Spec.Steps[1].After = {0};
+  Submit.Spec.Steps[1].Lasting = true;
+  for (const JobRequest &What :
+       {JobRequest(Submit), JobRequest(CancelJob{Submit.Job}),
+        JobRequest(AskJob{Submit.Job}), JobRequest(AskQueue{Submit.Queue})}) {
+    const auto Read = decodeRequest(encodeRequest(What));
+    BOOST_REQUIRE(Read.ok());
+    BOOST_TEST((*Read == What));
+  }
+  const JobReply Reply{JobReply::Refused, jobs::JobState::Failed, 7, 2s};
+  BOOST_TEST((decodeReply(encodeReply(Reply)) == Reply));
+  BOOST_TEST((decodeReply(http::jsonResponse(200, "nonsense")).Outcome ==
+              JobReply::Unknown));
+}
+
+BOOST_AUTO_TEST_CASE(EventsRoundTrip) {
+  using namespace balsamlatch::jobs;
+  const TaskRef Task{JobId("j"), 1, 2, 3};
+  JobSnapshot Snapshot;
+  Snapshot.Accepted = std::get<JobAccepted>(accepted("j"));
+  Snapshot.Occurrences[1] = {{{TaskPhase::Placed, 4, 1, {"w", 5}, "c"}}};
+  const std::vector<JobEvent> Events = {
+      accepted("j"),
+      TaskPlaced{Task, 4, {"w", 5}},
+      TaskEnded{Task, 4, RunEnd::Failed, "c"},
+      CheckpointSaved{Task, 4, "d"},
+      JobClosed{JobId("j"), JobState::Failed, WallTime(7s)},
+      JobForgotten{JobId("j")},
+      Snapshot};
+  const auto Read = decodeEvents(encodeEvents(Events));
+  BOOST_REQUIRE(Read.ok());
+  BOOST_TEST((*Read == Events));
+  BOOST_TEST(!decodeEvents("[[\"a\"]]").ok());
+  BOOST_TEST(!decodeEvents("{").ok());
+}
--- a/Tests/Dispatch/HostKeeperTest.cpp
+++ b/Tests/Dispatch/HostKeeperTest.cpp
@@ -167,6 +167,26 @@
   BOOST_TEST(F.decide().size() == 1);
 }
 
+BOOST_AUTO_TEST_CASE(ADrainThatLeadsToNothingEnds) {
+  // The second task of the step is away, so the first one may not be taken;
+  // hosts that drained on for it would lack where they are needed.
+  Fleet F(2);
+  F.W.submit("a", lastingJob(2));
+  F.W.run(4s);
+  F.W.Workers[0].RunTime = 60s;
+  F.W.Workers[1].crash(F.W.Time.now(), F.W.Past);
+  F.W.Workers[1].Down = true;
+  F.W.submit("b", simpleJob(1));
+  F.W.run(1s);
+  F.list();
+  F.Keeper.addWave(waveOf({F.Hosts[0]}, 1));
+  BOOST_TEST(F.decide().empty());
+  BOOST_TEST(F.W.Decisions->workers().at("w0").Cordoned);
+  F.W.run(8s);
+  BOOST_TEST(F.decide().empty());
+  BOOST_TEST(!F.W.Decisions->workers().at("w0").Cordoned);
+}
+
 BOOST_AUTO_TEST_CASE(HostsFollowTheWork) {
   // A queue asks for more than its pool holds while another pool is idle.
   PoolPlanner Planner{PoolPlannerOptions()};
--- /dev/null
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -0,0 +1,151 @@
+/// \file
+/// What the platform writes, good and bad, and what the adapter makes of it.
+
+#define BOOST_TEST_MODULE PlatformAdapter
+#include "Decode.h"
+#include "Settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace balsamlatch;
+using namespace balsamlatch::platform;
+using namespace std::chrono_literals;
+
+BOOST_AUTO_TEST_CASE(AJobIsReadWhole) {
+  const auto Job = decodeJob(
+      R"({"spec":"s","steps":[{"count":2,"cpu":500,"mem_mb":64,"gpus":1,)"
+      R"("estimated_ms":900,"checkpointing":true,"requirements":"a",)"
+      R"("affinity":"r1","anti_affinity":1},{"count":1,"after":[0],)"
+      R"("persistent":true,"may_miss":2,"target_ms":40,"fills":true,)"
+      R"("image":"i","gang":true,"same_rack":true,"speculative":true}],)"
+      R"("repeat_count":3,"first_run_ms":1000,"interval_ms":500})");
+  BOOST_REQUIRE(Job.ok());
+  const jobs::StepSpec &First = Job->Steps[0];
+  BOOST_TEST(First.Count == 2);
+  BOOST_TEST((First.Need == jobs::Resources{500, 64, 1}));
+  BOOST_TEST((First.Estimate == 900ms));
+  BOOST_TEST(First.Checkpoints);
+  BOOST_TEST(First.RequiredLabel == "a");
+  BOOST_TEST(First.PreferredRack == "r1");
+  BOOST_TEST(First.MaxPerWorker == 1);
+  const jobs::StepSpec &Second = Job->Steps[1];
+  BOOST_TEST((Second.After == std::vector<unsigned>{0}));
+  BOOST_TEST((Second.Lasting && Second.Filler && Second.Gang &&
+              Second.SameRack && Second.Speculative));
+  BOOST_TEST(Second.MaxUnavailable == 2);
+  BOOST_TEST((Second.TailObjective == 40ms));
+  BOOST_TEST(Job->Times.Repeats == 3);
+  BOOST_TEST((Job->Times.First == WallTime(1s)));
+}
+
+BOOST_AUTO_TEST_CASE(BadJobsAreTurnedAwayWithAReason) {
+  for (const char *Bad :
+       {"", "{", "[]", "7", R"({"spec":"s"})", R"({"spec":"s","steps":[]})",
+        R"({"spec":1,"steps":[{"count":1}]})",
+        R"({"spec":"s","steps":[{"count":0}]})",
+        R"({"spec":"s","steps":[{"count":-1}]})",
+        R"({"spec":"s","steps":[{"count":99999999}]})",
+        R"({"spec":"s","steps":[{"count":1,"after":[0]}]})",
+        R"({"spec":"s","steps":[{"count":1,"after":[5]}]})",
+        R"({"spec":"s","steps":[{"count":1,"cpu":-5}]})",
+        R"({"spec":"s","steps":[{"count":1,"cpu":"much"}]})",
+        R"({"spec":"s","steps":[{"count":1,"estimated_ms":1e300}]})",
+        R"({"spec":"s","steps":{"count":1}})"}) {
+    const auto Job = decodeJob(Bad);
+    BOOST_TEST(!Job.ok(), Bad);
+    BOOST_TEST(!Job.status().message().empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RegistrationsOfAnotherWriterNameNoWorker) {
+  const std::string Good =
+      R"({"service":"p","address":"10.0.0.1:80","zone":"z","state":"ready",)"
+      R"("capacity":{"cpu":1,"mem_mb":2,"gpus":0},"labels":["a"],"born":5})";
+  const auto Worker = decodeWorker("i-1", Good);
+  BOOST_REQUIRE(Worker.ok());
+  BOOST_TEST(Worker->Address.Port == 80);
+  BOOST_TEST(Worker->Life.Born == 5);
+  for (const char *Bad :
+       {"", "\xff\xfe", "null", "{}",
+        R"({"service":"p","address":"10.0.0.1","state":"ready","capacity":{},"born":5})",
+        R"({"service":"p","address":"10.0.0.1:80","state":"odd","capacity":{},"born":5})",
+        R"({"service":7,"address":"10.0.0.1:80","state":"ready","capacity":{},"born":5})",
+        R"({"service":"p","address":"10.0.0.1:80","state":"ready","born":5})",
+        R"({"service":"p","address":"10.0.0.1:80","state":"ready","capacity":{}})"}) {
+    BOOST_TEST(!decodeWorker("i-1", Bad).ok(), Bad);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheLongestPrefixOfTheHostWins) {
+  const auto Config = decodeConfig(
+      R"({"version":7,"routes":[)"
+      R"({"name":"a","host":"h","prefix":"/x/","service":"p","timeout_ms":3000},)"
+      R"({"name":"b","host":"h","prefix":"/x/y/","service":"p","max_attempts":4,)"
+      R"("stretch":1.6,"priority":1},)"
+      R"({"name":"c","host":"other","prefix":"/x/y/z/","service":"p"}],)"
+      R"("services":[{"name":"p","standby":true,"rejects_overload":false}],)"
+      R"("limits":{"max_body_bytes":10}})");
+  BOOST_REQUIRE(Config.ok());
+  BOOST_TEST(Config->Version == 7);
+  BOOST_TEST(Config->match("h", "/x/y/z/1")->Name.Text == "b");
+  BOOST_TEST(Config->match("h", "/x/1")->Name.Text == "a");
+  BOOST_TEST(Config->match("h", "/y/1") == nullptr);
+  BOOST_TEST(Config->find(jobs::QueueName("b"))->MaxAttempts == 4);
+  BOOST_TEST(Config->Pools.front().Standby);
+  BOOST_TEST(!Config->Pools.front().GuardsCapacity);
+  BOOST_TEST(!decodeConfig("{\"routes\":[]}").ok());
+}
+
+BOOST_AUTO_TEST_CASE(AHoldsAnswerIsRead) {
+  const auto Report = decodeHold(
+      R"({"clock_ms":9,"born":4,"running_tasks":[)"
+      R"(["5c0e7a21d94b36f8.0.1.17",2,"c",41,7],["odd",1,"",0]],)"
+      R"("ended_tasks":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+      R"([59,"5c0e7a21d94b36f8.0.1.8",1,"lapsed","d"]]})");
+  BOOST_REQUIRE(Report.ok());
+  BOOST_TEST(Report->Running.size() == 1);
+  BOOST_TEST(Report->Running[0].Task.Index == 17);
+  BOOST_TEST(Report->Running[0].Gauge == 7);
+  BOOST_TEST((Report->Ended[0].How == jobs::RunEnd::Done));
+  BOOST_TEST((Report->Ended[1].How == jobs::RunEnd::Lost));
+  BOOST_TEST(!decodeHold("{\"running_tasks\":[[1]]}").ok());
+}
+
+BOOST_AUTO_TEST_CASE(TaskNamesRoundTrip) {
+  const dispatch::TaskRef Task{dispatch::JobId("5c0e7a21d94b36f8"), 3, 1, 17};
+  BOOST_TEST((*parseTaskName(taskName(Task)) == Task));
+  for (const char *Bad : {"", "a", "a.1", "a.1.2", "a.1.2.3.4", "a.x.2.3",
+                          "a.1.2.-3", "a.1.2.99999999999"}) {
+    BOOST_TEST(!parseTaskName(Bad).ok(), Bad);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(HostsAndWavesAreRead) {
+  std::string Next;
+  const auto Hosts = decodeHosts(
+      R"({"machines":[{"machine":"m","pool":"p","state":"upkeep","zone":"z",)"
+      R"("labels":[],"capacity":{"cpu":1},"id":null}],"next_token":"t"})",
+      Next);
+  BOOST_REQUIRE(Hosts.ok());
+  BOOST_TEST(Next == "t");
+  BOOST_TEST((Hosts->front().Status == dispatch::HostStatus::Maintenance));
+  const auto Wave = decodeWave(
+      R"({"wave":1,"machines":["m"],"duration_s":2.5,"maximum":3})");
+  BOOST_REQUIRE(Wave.ok());
+  BOOST_TEST((Wave->TimeAllowed == 2500ms));
+  BOOST_TEST(Wave->MaxAway == 3);
+}
+
+BOOST_AUTO_TEST_CASE(SettingsReportAllThatIsWrong) {
+  const std::string Good = "[entry]\nname = e\ncallers = 10.0.0.1:1\n"
+                           "readiness = 10.0.0.1:2\ninternal = 10.0.0.1:3\n"
+                           "grace = 6\n[store]\naddress = 10.0.0.2:4\n"
+                           "[hosts]\naddress = 10.0.0.3:5\nmove-time = 1.5\n";
+  const ParsedSettings Read = parseSettings("file", Good);
+  BOOST_TEST(!Read.Found.hasErrors());
+  BOOST_TEST((Read.Values.MoveTime == 1500ms));
+  BOOST_TEST(Read.Values.Store.Port == 4);
+  const ParsedSettings Bad = parseSettings(
+      "file", "[entry]\nname = e\ncallers = nowhere\ngrace = long\nodd = 1\n");
+  BOOST_TEST(Bad.Found.all().size() >= 6);
+}
