--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -70,7 +70,11 @@
                PoolDemand &Into) {
   const jobs::StepSpec &Spec = Owner.spec().Steps[Step];
   if (Spec.Lasting) {
-    const unsigned Apart = std::max(1U, Spec.MaxPerWorker);
+    const unsigned Together =
+        Spec.MaxPerWorker > 0 ? Spec.MaxPerWorker : Spec.Count;
+    const unsigned Apart = std::max(
+        1U, Spec.MaxUnavailable > 0 ? std::min(Spec.MaxUnavailable, Together)
+                                    : Together);
     Into.LastingHosts =
         std::max(Into.LastingHosts, (Spec.Count + Apart - 1) / Apart);
     return;
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -104,8 +104,8 @@
   std::unique_ptr<Holder> holder(const std::string &Name) {
     HolderOptions Options;
     Options.Self = {Name, "127.0.0.1", 1};
-    auto New = std::make_unique<Holder>(Loop, Time, Log, Store, Workers,
-                                        Options);
+    auto New =
+        std::make_unique<Holder>(Loop, Time, Log, Store, Workers, Options);
     New->configure(Config);
     New->start();
     return New;
@@ -130,8 +130,8 @@
 
 BOOST_FIXTURE_TEST_CASE(RecordsAreReadBackOverPages, JournalFixture) {
   for (int Number = 0; Number < 8; ++Number) {
-    BOOST_TEST((append(fmt::format("j{}", Number)) ==
-                Journal::Result::Written));
+    BOOST_TEST(
+        (append(fmt::format("j{}", Number)) == Journal::Result::Written));
   }
   BOOST_TEST(jobsAfterLoad() == 8);
   BOOST_TEST(Records.next() == 9);
@@ -180,12 +180,12 @@
   auto Second = holder("two");
   First->retire();
   BOOST_TEST(runUntil([&] { return Second->leading(); }));
-  BOOST_TEST((ask(*Second, AskJob{jobs::JobId("a")})->Outcome ==
-              JobReply::Done));
+  BOOST_TEST(
+      (ask(*Second, AskJob{jobs::JobId("a")})->Outcome == JobReply::Done));
   BOOST_TEST((ask(*Second, job("a"))->Outcome == JobReply::Done));
   BOOST_TEST(Second->book().jobs().size() == 1);
-  BOOST_TEST((ask(*Second, AskJob{jobs::JobId("b")})->Outcome ==
-              JobReply::NoSuchJob));
+  BOOST_TEST(
+      (ask(*Second, AskJob{jobs::JobId("b")})->Outcome == JobReply::NoSuchJob));
   BOOST_TEST((ask(*First, job("c"))->Outcome == JobReply::NotHolder));
 }
 
--- a/Tests/Control/FakeStore.cpp
+++ b/Tests/Control/FakeStore.cpp
@@ -54,7 +54,8 @@
   TransactionReply Reply;
   for (const Condition &Each : What.Conditions) {
     const auto Found = Items.find(Each.Key);
-    const std::uint64_t Have = Found == Items.end() ? 0 : Found->second.Revision;
+    const std::uint64_t Have =
+        Found == Items.end() ? 0 : Found->second.Revision;
     if (Have != Each.Revision) {
       Reply.Status = absl::AbortedError("a condition doesn't hold");
     }
--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -65,13 +65,14 @@
   BOOST_REQUIRE(Worker.ok());
   BOOST_TEST(Worker->Address.Port == 80);
   BOOST_TEST(Worker->Life.Born == 5);
-  for (const char *Bad :
-       {"", "\xff\xfe", "null", "{}",
-        R"({"service":"p","address":"10.0.0.1","state":"ready","capacity":{},"born":5})",
-        R"({"service":"p","address":"10.0.0.1:80","state":"odd","capacity":{},"born":5})",
-        R"({"service":7,"address":"10.0.0.1:80","state":"ready","capacity":{},"born":5})",
-        R"({"service":"p","address":"10.0.0.1:80","state":"ready","born":5})",
-        R"({"service":"p","address":"10.0.0.1:80","state":"ready","capacity":{}})"}) {
+  for (
+      const char *Bad :
+      {"", "\xff\xfe", "null", "{}",
+       R"({"service":"p","address":"10.0.0.1","state":"ready","capacity":{},"born":5})",
+       R"({"service":"p","address":"10.0.0.1:80","state":"odd","capacity":{},"born":5})",
+       R"({"service":7,"address":"10.0.0.1:80","state":"ready","capacity":{},"born":5})",
+       R"({"service":"p","address":"10.0.0.1:80","state":"ready","born":5})",
+       R"({"service":"p","address":"10.0.0.1:80","state":"ready","capacity":{}})"}) {
     BOOST_TEST(!decodeWorker("i-1", Bad).ok(), Bad);
   }
 }
@@ -97,11 +98,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(AHoldsAnswerIsRead) {
-  const auto Report = decodeHold(
-      R"({"clock_ms":9,"born":4,"running_tasks":[)"
-      R"(["5c0e7a21d94b36f8.0.1.17",2,"c",41,7],["odd",1,"",0]],)"
-      R"("ended_tasks":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
-      R"([59,"5c0e7a21d94b36f8.0.1.8",1,"lapsed","d"]]})");
+  const auto Report =
+      decodeHold(R"({"clock_ms":9,"born":4,"running_tasks":[)"
+                 R"(["5c0e7a21d94b36f8.0.1.17",2,"c",41,7],["odd",1,"",0]],)"
+                 R"("ended_tasks":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""],)"
+                 R"([59,"5c0e7a21d94b36f8.0.1.8",1,"lapsed","d"]]})");
   BOOST_REQUIRE(Report.ok());
   BOOST_TEST(Report->Running.size() == 1);
   BOOST_TEST(Report->Running[0].Task.Index == 17);
@@ -129,8 +130,8 @@
   BOOST_REQUIRE(Hosts.ok());
   BOOST_TEST(Next == "t");
   BOOST_TEST((Hosts->front().Status == dispatch::HostStatus::Maintenance));
-  const auto Wave = decodeWave(
-      R"({"wave":1,"machines":["m"],"duration_s":2.5,"maximum":3})");
+  const auto Wave =
+      decodeWave(R"({"wave":1,"machines":["m"],"duration_s":2.5,"maximum":3})");
   BOOST_REQUIRE(Wave.ok());
   BOOST_TEST((Wave->TimeAllowed == 2500ms));
   BOOST_TEST(Wave->MaxAway == 3);
