fleet: Size pools for the jobs that are about to come

Cause: at the begin of a queue's turn hosts were moved only for the work that had come, while a moved host can run something after 1.7 s; most late jobs are those of a turn's first seconds.

Change: jobs of the last half second count three times in a pool's demand.

--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -11,6 +11,10 @@
 
 /// After an order a host counts as away for its maintenance and this.
 constexpr Duration ReturnMargin = std::chrono::milliseconds(700);
+/// Until a host that is moved now can run work, as many jobs come again, so
+/// often, as came in the last moments. Answers demand that rises at once.
+constexpr Duration ArrivalWindow = std::chrono::milliseconds(500);
+constexpr std::int64_t FollowersExpected = 2;
 /// How long a host takes work again after a drain that led to nothing.
 constexpr Duration DrainPause = std::chrono::seconds(3);
 /// What a host takes from its drain to its return, as long as nothing is known
@@ -67,7 +71,7 @@
 
 /// Adds the tasks of a step that run or could run now.
 void addDemand(const jobs::Job &Owner, unsigned Occurrence, unsigned Step,
-               PoolDemand &Into) {
+               std::int64_t Weight, PoolDemand &Into) {
   const jobs::StepSpec &Spec = Owner.spec().Steps[Step];
   if (Spec.Lasting) {
     const unsigned Apart =
@@ -88,13 +92,13 @@
                            return Task.Phase != jobs::TaskPhase::Done;
                          });
   }
-  Into.Ending.CpuMilli += Spec.Need.CpuMilli * Open;
-  Into.Ending.MemoryMb += Spec.Need.MemoryMb * Open;
-  Into.Ending.Gpus += Spec.Need.Gpus * Open;
+  Into.Ending.CpuMilli += Spec.Need.CpuMilli * Open * Weight;
+  Into.Ending.MemoryMb += Spec.Need.MemoryMb * Open * Weight;
+  Into.Ending.Gpus += Spec.Need.Gpus * Open * Weight;
 }
 
-std::map<PoolName, PoolDemand> demandOf(const jobs::JobBook &Jobs,
-                                        const Deployment &Config) {
+std::map<PoolName, PoolDemand>
+demandOf(const jobs::JobBook &Jobs, const Deployment &Config, WallTime Now) {
   std::map<PoolName, PoolDemand> Demand;
   for (const auto &[Id, Owner] : Jobs.jobs()) {
     if (!Owner.open()) {
@@ -103,8 +107,10 @@
     const Queue *From = Config.find(Owner.Record.Accepted.Queue);
     PoolDemand &Into =
         Demand[From == nullptr ? Owner.Record.Accepted.Pool : From->Pool];
+    const bool New = Now - Owner.Record.Accepted.At < ArrivalWindow;
+    const std::int64_t Weight = New ? 1 + FollowersExpected : 1;
     for (unsigned Step = 0; Step < Owner.spec().Steps.size(); ++Step) {
-      addDemand(Owner, 0, Step, Into);
+      addDemand(Owner, 0, Step, Weight, Into);
     }
   }
   return Demand;
@@ -357,7 +363,8 @@
     return Now - Each.second.Since > Settings.MoveTime + ReturnMargin;
   });
   const PoolPlan Plan =
-      Pools.plan(Now, Config.Pools, demandOf(Jobs, Config), poolHosts(Workers));
+      Pools.plan(Now, Config.Pools, demandOf(Jobs, Config, Time.wallNow()),
+                 poolHosts(Workers));
   for (const PoolPlan::Step &Step : Plan.Moves) {
     const HostRecord *Host = find(Step.Host);
     Moving[Step.Host] = {Step.To, Now};
--- a/Tests/Dispatch/HostKeeperTest.cpp
+++ b/Tests/Dispatch/HostKeeperTest.cpp
@@ -239,6 +239,23 @@
   BOOST_TEST(FromSpare == 1); // hosts that are paid for come first
 }
 
+BOOST_AUTO_TEST_CASE(HostsAreMovedForTheJobsThatAreAboutToCome) {
+  // A queue's turn begins: the first job fills one host, and more follow
+  // before a host that is moved now can run anything.
+  Fleet F(6);
+  F.W.Config->Pools.push_back({Spare, true});
+  for (std::size_t Number = 2; Number < F.Hosts.size(); ++Number) {
+    F.Hosts[Number].Pool = Spare;
+    F.Hosts[Number].WorkerId.clear();
+  }
+  F.W.run(4s);
+  F.list();
+  BOOST_TEST(F.decide().empty());
+  F.W.submit("a", simpleJob(4));
+  F.W.run(50ms);
+  BOOST_TEST(F.decide().size() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(UnneededHostsGoToStandbyAfterAWhile) {
   PoolPlanner Planner{PoolPlannerOptions()};
   const PoolName Idle("idle");
