fleet: Let a new holder order at once the hosts not ordered lately

Change: the hosts that a holder orders are kept in the store, written under the holder's condition before the orders leave; a later holder waits only with those. Jobs of the last half second count four times in a pool's demand (three before).

--- a/Source/Control/HostControl.cpp
+++ b/Source/Control/HostControl.cpp
@@ -20,8 +20,26 @@
 /// From the answer of an order to the list that shows its effect; orders that
 /// are answered together share a list.
 constexpr Duration SettlePause = std::chrono::milliseconds(20);
+/// A record that took longer to write doesn't count.
+constexpr Duration OldestRecord = std::chrono::milliseconds(1000);
+/// Common to the keys of this part.
+constexpr std::string_view FleetPrefix = "fleet/";
 constexpr Duration RetryPause = std::chrono::milliseconds(200);
 
+/// The earlier holder's orders; a list that can't be read is an empty one
+/// since it was never written.
+std::set<HostName> decodeOrders(const std::string &Text) {
+  std::set<HostName> Names;
+  boost::system::error_code Fault;
+  const json::value Parsed = json::parse(Text, Fault);
+  if (!Fault && Parsed.is_array()) {
+    for (const json::value &Name : Parsed.get_array()) {
+      Names.emplace(std::string(Name.as_string()));
+    }
+  }
+  return Names;
+}
+
 /// What a later holder needs to know of a wave.
 struct WaveProgress {
   WallTime Since{};
@@ -80,12 +98,15 @@
   NextListAt = {};
   WriteInFlight.clear();
   AnsweredMeanwhile.clear();
+  Decided.clear();
+  RecordInFlight = false;
   // All reports share what stands before the wave's number.
   std::string ReportPrefix = Reporting.Key(0);
   ReportPrefix.pop_back();
   readReports(ReportPrefix, [this] {
-    readReports(std::string(ProgressPrefix), [this] {
+    readReports(std::string(FleetPrefix), [this] {
       ReportsRead = true;
+      Keeper.setEarlierOrders(decodeOrders(Reported[std::string(OrdersKey)]));
       addOpenWaves();
     });
   });
@@ -172,12 +193,13 @@
     for (const dispatch::HostDecision &Each :
          Keeper.decide(Jobs.dispatcher(), Jobs.book(), *Config)) {
       if (const auto *Order = std::get_if<dispatch::HostOrder>(&Each)) {
-        order(*Order);
+        Decided.push_back(*Order);
       } else {
         report(std::get<dispatch::WaveCompleted>(Each).Wave, true);
       }
     }
   }
+  recordOrders();
   Loop.after(TickPeriod, [this, Mine = Term] {
     if (Mine == Term) {
       tick();
@@ -225,6 +247,39 @@
   });
 }
 
+void HostControl::recordOrders() {
+  if (Decided.empty() || RecordInFlight) {
+    return;
+  }
+  RecordInFlight = true;
+  json::array Names;
+  for (const HostName &Name : Keeper.recentOrders()) {
+    Names.emplace_back(Name.Text);
+  }
+  Transaction What;
+  What.Conditions = {Jobs.leadCondition()};
+  What.Writes = {{std::string(OrdersKey), json::serialize(Names), 0}};
+  Store.commit(std::move(What),
+               [this, Orders = std::exchange(Decided, {}), SentAt = Time.now(),
+                Mine = Term](const TransactionReply &Reply) {
+                 if (Mine != Term) {
+                   return;
+                 }
+                 RecordInFlight = false;
+                 // After a freeze another holder may lead without knowing of
+                 // the orders.
+                 const bool Recorded =
+                     Reply.Status.ok() && Time.now() - SentAt < OldestRecord;
+                 for (const dispatch::HostOrder &Order : Orders) {
+                   if (Recorded) {
+                     order(Order);
+                   } else {
+                     Keeper.refused(Order, Jobs.dispatcher());
+                   }
+                 }
+               });
+}
+
 void HostControl::order(const dispatch::HostOrder &Order) {
   Log.write(LogLevel::Info, "host-ordered",
             {{"host", Order.Host.Text},
--- a/Source/Control/include/balsamlatch/Control/HostControl.h
+++ b/Source/Control/include/balsamlatch/Control/HostControl.h
@@ -20,6 +20,9 @@
 
   /// Where the hosts that a wave has done with are kept.
   static constexpr std::string_view ProgressPrefix = "fleet/wave/";
+  /// Where the hosts that were ordered last are kept. It is written before the
+  /// orders leave, under the condition that this process still leads.
+  static constexpr std::string_view OrdersKey = "fleet/orders";
 
   HostControl(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
               RecordStore &Target, HostPort &Orders, Holder &Lead,
@@ -41,6 +44,7 @@
   void put(const std::string &Key, const std::string &Value);
   void addOpenWaves();
   void takeUp(const dispatch::WaveRequest &Wave);
+  void recordOrders();
   void order(const dispatch::HostOrder &Order);
   void answered(const dispatch::HostOrder &Order, HostOutcome Outcome);
   void report(std::uint64_t Wave, bool Completed);
@@ -64,6 +68,9 @@
   Instant NextListAt{};
   // When each wave was first known of.
   std::map<std::uint64_t, WallTime> Begun;
+  // Orders that wait for their record, and those whose record is written.
+  std::vector<dispatch::HostOrder> Decided;
+  bool RecordInFlight = false;
   // Orders that were answered while a list was on its way.
   std::vector<std::pair<dispatch::HostOrder, bool>> AnsweredMeanwhile;
   // Keys that are being written.
--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -14,7 +14,7 @@
 /// Until a host that is moved now can run work, as many jobs come again, so
 /// often, as came in the last moments. Answers demand that rises at once.
 constexpr Duration ArrivalWindow = std::chrono::milliseconds(500);
-constexpr std::int64_t FollowersExpected = 2;
+constexpr std::int64_t FollowersExpected = 3;
 /// How long a host takes work again after a drain that led to nothing.
 constexpr Duration DrainPause = std::chrono::seconds(3);
 /// What a host takes from its drain to its return, as long as nothing is known
@@ -167,6 +167,33 @@
   Moving.clear();
   DrainingForMove.clear();
   Pools.reset();
+  EarlierKnown = false;
+  EarlierOrders.clear();
+  OrderedAt.clear();
+}
+
+void HostKeeper::setEarlierOrders(std::set<HostName> Names) {
+  EarlierOrders = std::move(Names);
+  EarlierKnown = true;
+}
+
+std::set<HostName> HostKeeper::recentOrders() const {
+  std::set<HostName> Recent;
+  for (const auto &[Name, At] : OrderedAt) {
+    if (Time.now() - At < Settings.SettleTime) {
+      Recent.insert(Name);
+    }
+  }
+  // Until they are settled they matter to the next holder, too.
+  if (Time.now() - TermBegan < Settings.SettleTime) {
+    Recent.insert(EarlierOrders.begin(), EarlierOrders.end());
+  }
+  return Recent;
+}
+
+bool HostKeeper::settling(const HostName &Name) const {
+  return EarlierOrders.contains(Name) &&
+         Time.now() - TermBegan < Settings.SettleTime;
 }
 
 bool HostKeeper::busy() const {
@@ -210,7 +237,7 @@
                                              const jobs::JobBook &Jobs,
                                              const Deployment &Config) {
   std::vector<HostDecision> Decisions;
-  if (Hosts.empty() || Time.now() - TermBegan < Settings.SettleTime) {
+  if (Hosts.empty() || !EarlierKnown) {
     return Decisions;
   }
   for (auto &[Number, Which] : Waves) {
@@ -224,6 +251,7 @@
                       std::vector<HostDecision> &Into) {
   Workers.setLeaving(Order.WorkerId, true);
   Ordered[Order.Host] = Order;
+  OrderedAt[Order.Host] = Time.now();
   Into.emplace_back(std::move(Order));
 }
 
@@ -266,7 +294,8 @@
     }
     ++Left;
     if (Host->Status == HostStatus::Up && !Ordered.contains(Name) &&
-        !Unsettled.contains(Name) && !Moving.contains(Name)) {
+        !Unsettled.contains(Name) && !Moving.contains(Name) &&
+        !settling(Name)) {
       Open.push_back(Host);
     }
   }
@@ -342,6 +371,7 @@
     const WorkerState *Worker = workerOf(Host, Workers);
     View.Movable = Host.Status == HostStatus::Up && Way == Moving.end() &&
                    !Ordered.contains(Name) && !Unsettled.contains(Name) &&
+                   !settling(Name) &&
                    (Worker == nullptr || !Worker->Record.Draining);
     View.Vacant = Worker == nullptr || Worker->Runs.empty();
     View.Lasting =
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
@@ -14,8 +14,8 @@
 namespace balsamlatch::dispatch {
 
 struct HostKeeperOptions {
-  /// No host is ordered in the first part of a term, in which an earlier
-  /// holder may still be ordering.
+  /// A host that an earlier holder ordered lately isn't ordered in the first
+  /// part of a term, so that two holders never take turns on it.
   Duration SettleTime = std::chrono::milliseconds(3500);
   /// Time for which a host is kept free of new work before its runs are cut
   /// off.
@@ -54,6 +54,11 @@
   HostKeeper(const Clock &TimeSource, HostKeeperOptions Options, LogSink &Sink);
 
   void begin();
+  /// The hosts that the earlier holder has ordered last, from its
+  /// recentOrders(). Nothing is decided before.
+  void setEarlierOrders(std::set<HostName> Hosts);
+  /// Hosts that were ordered in the last SettleTime.
+  std::set<HostName> recentOrders() const;
   /// The hosts as listed after all orders that were answered so far.
   void setHosts(std::vector<HostRecord> Hosts, Dispatcher &Workers);
   /// A wave that is already completed is not given again. \p UnderWay: for how
@@ -101,6 +106,8 @@
   void settle(Dispatcher &Workers);
   void settleGone(const HostOrder &Order);
   const HostRecord *find(const HostName &Name) const;
+  /// An earlier holder may have ordered the host a moment ago.
+  bool settling(const HostName &Name) const;
   void decideWave(Wave &Which, Dispatcher &Workers, const jobs::JobBook &Jobs,
                   std::vector<HostDecision> &Into);
   void decideMoves(Dispatcher &Workers, const jobs::JobBook &Jobs,
@@ -116,6 +123,9 @@
   LogSink &Log;
   PoolPlanner Pools;
   Instant TermBegan{};
+  bool EarlierKnown = false;
+  std::set<HostName> EarlierOrders;
+  std::map<HostName, Instant> OrderedAt;
   std::map<HostName, HostRecord> Hosts;
   std::map<std::uint64_t, Wave> Waves;
   // Orders without an answer.
--- a/Tests/Dispatch/HostKeeperTest.cpp
+++ b/Tests/Dispatch/HostKeeperTest.cpp
@@ -29,9 +29,12 @@
 
 /// A world with a host for each worker, and a keeper past its settling.
 struct Fleet {
-  explicit Fleet(unsigned Count)
+  explicit Fleet(unsigned Count, bool EarlierOrdersKnown = true)
       : W(Count), Keeper(W.Time, HostKeeperOptions(), W.Log) {
     Keeper.begin();
+    if (EarlierOrdersKnown) {
+      Keeper.setEarlierOrders({});
+    }
     for (unsigned Number = 0; Number < Count; ++Number) {
       HostRecord &Host = Hosts.emplace_back();
       Host.Name = HostName(fmt::format("h{}", Number));
@@ -75,8 +78,33 @@
 
 } // namespace
 
-BOOST_AUTO_TEST_CASE(NoHostIsOrderedEarlyInATerm) {
-  Fleet F(2);
+BOOST_AUTO_TEST_CASE(NoHostIsOrderedBeforeTheEarlierOrdersAreKnown) {
+  Fleet F(2, false);
+  F.list();
+  F.Keeper.addWave(waveOf(F.Hosts, 2));
+  F.W.run(10s);
+  BOOST_TEST(F.decide().empty());
+}
+
+BOOST_AUTO_TEST_CASE(AHostThatAnEarlierHolderOrderedWaits) {
+  Fleet F(2, false);
+  F.Keeper.setEarlierOrders({F.Hosts[0].Name});
+  F.list();
+  F.Keeper.addWave(waveOf(F.Hosts, 2));
+  F.W.run(100ms);
+  const std::vector<HostOrder> Orders = F.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  BOOST_TEST(Orders.front().Host.Text == "h1");
+  // The next holder must know of both.
+  BOOST_TEST(
+      (F.Keeper.recentOrders() == std::set{F.Hosts[0].Name, F.Hosts[1].Name}));
+  F.W.run(4s);
+  BOOST_TEST(F.decide().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(TwoHostsOfAWaveMayBeOrderedAtOnce) {
+  Fleet F(2, false);
+  F.Keeper.setEarlierOrders({F.Hosts[0].Name, F.Hosts[1].Name});
   F.list();
   F.Keeper.addWave(waveOf(F.Hosts, 2));
   F.W.run(3s);
@@ -253,7 +281,7 @@
   BOOST_TEST(F.decide().empty());
   F.W.submit("a", simpleJob(4));
   F.W.run(50ms);
-  BOOST_TEST(F.decide().size() == 2);
+  BOOST_TEST(F.decide().size() == 3);
 }
 
 BOOST_AUTO_TEST_CASE(UnneededHostsGoToStandbyAfterAWhile) {
