--- a/Source/Control/HolderRequests.cpp
+++ b/Source/Control/HolderRequests.cpp
@@ -32,6 +32,14 @@
     // It could not be stored in time; nobody knows when the store is back.
     JobReply Reply{JobReply::Refused};
     Reply.RetryAfter = StoreRetry;
+    Log.write(
+        LogLevel::Info, "job-refused",
+        {{"job", What.Job.Text},
+         {"why", "the store doesn't answer"},
+         {"record", Records.next()},
+         {"waits_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                          Time.now() - Records.begunAt())
+                          .count()}});
     Done(Reply);
     return;
   }
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -24,6 +24,33 @@
 /// Covers what a timer is late and the way of an order.
 constexpr Duration LapseMargin = std::chrono::milliseconds(200);
 
+/// Where a task stands in its job.
+std::string placeOf(const TaskRef &Task) {
+  return fmt::format("{}.{}.{}", Task.Occurrence, Task.Step, Task.Index);
+}
+
+std::int64_t millisecondsOf(Duration Length) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
+}
+
+std::string_view endName(RunEnd How) {
+  switch (How) {
+  case RunEnd::Done:
+    return "done";
+  case RunEnd::Failed:
+    return "failed";
+  case RunEnd::Stopped:
+    return "stopped";
+  case RunEnd::Lost:
+    return "lost";
+  case RunEnd::GangBroken:
+    return "gang-broken";
+  case RunEnd::Refused:
+    return "refused";
+  }
+  return "lost";
+}
+
 } // namespace
 
 bool WorkerState::hasLabel(const std::string &Label) const {
@@ -311,6 +338,12 @@
     Run.StopWanted = true;
     return;
   }
+  Log.write(LogLevel::Info, "run-ended",
+            {{"job", Task.Job.Text},
+             {"task", placeOf(Task)},
+             {"run", Run.Run},
+             {"worker", Worker.Record.Life.Id},
+             {"how", endName(How)}});
   release(Worker, Run);
   EndingAt[Task] = Worker.Record.Life.Id;
   Events.emplace_back(jobs::TaskEnded{Task, Run.Run, How, Checkpoint});
@@ -468,6 +501,13 @@
   Order.Checkpoint = Owner->find(Task)->Checkpoint;
   extendLapse(Worker, Now);
   Run.Phase = RunPhase::Ordered;
+  Log.write(LogLevel::Info, "run-ordered",
+            {{"job", Task.Job.Text},
+             {"task", placeOf(Task)},
+             {"run", Run.Run},
+             {"worker", Worker.Record.Life.Id},
+             {"used_cpu_milli", Worker.Claimed.CpuMilli},
+             {"report_age_ms", millisecondsOf(Now - Worker.LastReportAt)}});
   Orders.emplace_back(std::move(Order));
 }
 
