--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -177,6 +177,7 @@
   Log.write(LogLevel::Warning, "lead-lost", {{"token", Token}, {"why", Why}});
   Stage = Following;
   ++TermNumber;
+  Known.reset();
   Records.stop();
   Decisions.end();
   Store.endLease(Lease);
--- a/Source/Control/JobRouter.cpp
+++ b/Source/Control/JobRouter.cpp
@@ -13,6 +13,7 @@
 /// A holder that hasn't answered by then may be frozen or cut off; the request
 /// is sent again, perhaps to the next one.
 constexpr Duration TryTimeout = std::chrono::milliseconds(700);
+constexpr Duration ProbeTimeout = std::chrono::milliseconds(500);
 /// Least time between two looks for the holder.
 constexpr Duration LookPeriod = std::chrono::milliseconds(150);
 
@@ -36,6 +37,19 @@
       Try{std::move(What), Deadline, std::move(Done), false}));
 }
 
+bool JobRouter::failingFor(Duration Length) const {
+  return FailingSince && Time.now() - *FailingSince >= Length;
+}
+
+void JobRouter::probe() {
+  if (std::exchange(Probing, true)) {
+    return;
+  }
+  Local.lookAgain();
+  request(AskQueue{}, Time.now() + ProbeTimeout,
+          [this](const JobReply &) { Probing = false; });
+}
+
 void JobRouter::attempt(const std::shared_ptr<Try> &What) {
   if (Local.leading()) {
     Local.request(What->What, [this, What](const JobReply &Reply) {
@@ -71,12 +85,17 @@
   const bool Settled = Reply.Outcome != JobReply::Unknown &&
                        Reply.Outcome != JobReply::NotHolder;
   if (Settled) {
-    LastAnswer = Time.now();
+    FailingSince.reset();
     What->Done(Reply);
     return;
   }
   What->MayBeDone = What->MayBeDone || Reply.Outcome == JobReply::Unknown;
   if (Time.now() + RetryPause >= What->Deadline) {
+    if (!FailingSince) {
+      FailingSince = Time.now();
+      Log.write(LogLevel::Warning, "holder-lost",
+                {{"known", Local.known() ? Local.known()->Entry : ""}});
+    }
     What->Done({What->MayBeDone ? JobReply::Unknown : JobReply::NotHolder});
     return;
   }
--- a/Source/Control/include/balsamlatch/Control/JobRouter.h
+++ b/Source/Control/include/balsamlatch/Control/JobRouter.h
@@ -20,8 +20,12 @@
   /// certainly was not, since no holder could be reached.
   void request(JobRequest What, Instant Deadline, JobService::Answer Done);
 
-  /// When a holder last answered, through this router.
-  Instant lastAnswer() const { return LastAnswer; }
+  /// Whether no holder has answered for \p Length, though requests asked for
+  /// one. Callers are served better by another entry then.
+  bool failingFor(Duration Length) const;
+
+  /// Asks the holder for nothing, to see whether it answers again.
+  void probe();
 
 private:
   struct Try;
@@ -34,7 +38,9 @@
   LogSink &Log;
   Holder &Local;
   http::Client &Remote;
-  Instant LastAnswer{};
+  // When the first of the requests since the last answer failed.
+  std::optional<Instant> FailingSince;
+  bool Probing = false;
   Instant NextLookAt{};
 };
 
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -6,6 +6,7 @@
 #include "FakeStore.h"
 
 #include "balsamlatch/Control/Holder.h"
+#include "balsamlatch/Control/JobRouter.h"
 #include "balsamlatch/Control/JobWire.h"
 #include "balsamlatch/Jobs/JournalCodec.h"
 
@@ -232,6 +233,25 @@
   BOOST_TEST(First->book().find(jobs::JobId("b")) == nullptr);
 }
 
+BOOST_FIXTURE_TEST_CASE(AnEntryWithoutAHolderSaysSoUntilItHasOne,
+                        HolderFixture) {
+  Store.Away = true;
+  auto Only = holder("one");
+  http::Client Peers(Loop.context(), {});
+  JobRouter Router(Loop, Time, Log, *Only, Peers);
+  std::optional<JobReply> Came;
+  Router.request(AskJob{jobs::JobId("a")}, Time.now() + 50ms,
+                 [&](const JobReply &Reply) { Came = Reply; });
+  BOOST_TEST(runUntil([&] { return Came.has_value(); }));
+  BOOST_TEST((Came->Outcome == JobReply::NotHolder));
+  BOOST_TEST(Router.failingFor(0ms));
+  BOOST_TEST(!Router.failingFor(1s));
+  Store.Away = false;
+  BOOST_TEST(runUntil([&] { return Only->leading(); }));
+  Router.probe();
+  BOOST_TEST(runUntil([&] { return !Router.failingFor(0ms); }));
+}
+
 BOOST_AUTO_TEST_CASE(RequestsBetweenEntriesRoundTrip) {
   SubmitJob Submit{jobs::JobId("0123456789abcdef"), jobs::QueueName("q"), {}};
   Submit.Spec.Text = "text";
