base, dispatch: One copy of addresses; split files by concern

Address and its parser move from Platform and Daemon to Base, and the adapter uses them; the dispatcher's orders and the host keeper's moves get files of their own. Behaviour is unchanged.

--- a/Source/Daemon/include/balsamlatch/Daemon/Settings.h
+++ b/Source/Daemon/include/balsamlatch/Daemon/Settings.h
@@ -89,9 +89,6 @@
 /// Parses a whole settings text. \p File names it in the findings.
 ParsedSettings parseSettings(std::string_view File, std::string_view Text);
 
-/// Parses "127.0.0.1:8080". InvalidArgument names the fault.
-absl::StatusOr<Address> parseAddress(std::string_view Text);
-
 } // namespace balsamlatch::daemon
 
 #endif // BALSAMLATCH_DAEMON_SETTINGS_H
--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -3,18 +3,14 @@
 
 #include "balsamlatch/Dispatch/HostKeeper.h"
 
+#include "HostViews.h"
+
 #include <algorithm>
 
 namespace balsamlatch::dispatch {
 
 namespace {
 
-/// After an order a host counts as away for its maintenance and this.
-constexpr Duration ReturnMargin = std::chrono::milliseconds(700);
-/// Until a host that is moved now can run work, as many jobs come again, so
-/// often, as came in the last moments. Answers demand that rises at once.
-constexpr Duration ArrivalWindow = std::chrono::milliseconds(500);
-constexpr std::int64_t FollowersExpected = 3;
 /// How long a host takes work again after a drain that led to nothing.
 constexpr Duration DrainPause = std::chrono::seconds(3);
 /// What a host takes from its drain to its return, as long as nothing is known
@@ -52,16 +48,6 @@
   return Away;
 }
 
-const WorkerState *workerOf(const HostRecord &Host, const Dispatcher &Workers) {
-  const auto Found = Workers.workers().find(Host.WorkerId);
-  return Found == Workers.workers().end() ? nullptr : &Found->second;
-}
-
-std::int64_t usedOf(const HostRecord &Host, const Dispatcher &Workers) {
-  const WorkerState *Worker = workerOf(Host, Workers);
-  return Worker == nullptr ? 0 : Worker->Claimed.CpuMilli;
-}
-
 /// Whether no work that would end by itself is cut off.
 bool endsNothing(const WorkerState *Worker) {
   return Worker == nullptr ||
@@ -69,53 +55,6 @@
                      [](const auto &Run) { return Run.second.Lasting; });
 }
 
-/// Adds the tasks of a step that run or could run now.
-void addDemand(const jobs::Job &Owner, unsigned Occurrence, unsigned Step,
-               std::int64_t Weight, PoolDemand &Into) {
-  const jobs::StepSpec &Spec = Owner.spec().Steps[Step];
-  if (Spec.Lasting) {
-    const unsigned Apart =
-        Spec.MaxPerWorker > 0 ? Spec.MaxPerWorker : Spec.Count;
-    Into.LastingHosts =
-        std::max(Into.LastingHosts, (Spec.Count + Apart - 1) / Apart);
-    return;
-  }
-  if (!Owner.ready(Occurrence, Step)) {
-    return;
-  }
-  const auto Found = Owner.Record.Occurrences.find(Occurrence);
-  std::int64_t Open = Spec.Count;
-  if (Found != Owner.Record.Occurrences.end()) {
-    const jobs::StepRecord &Tasks = Found->second[Step];
-    Open = std::count_if(Tasks.begin(), Tasks.end(),
-                         [](const jobs::TaskRecord &Task) {
-                           return Task.Phase != jobs::TaskPhase::Done;
-                         });
-  }
-  Into.Ending.CpuMilli += Spec.Need.CpuMilli * Open * Weight;
-  Into.Ending.MemoryMb += Spec.Need.MemoryMb * Open * Weight;
-  Into.Ending.Gpus += Spec.Need.Gpus * Open * Weight;
-}
-
-std::map<PoolName, PoolDemand>
-demandOf(const jobs::JobBook &Jobs, const Deployment &Config, WallTime Now) {
-  std::map<PoolName, PoolDemand> Demand;
-  for (const auto &[Id, Owner] : Jobs.jobs()) {
-    if (!Owner.open()) {
-      continue;
-    }
-    const Queue *From = Config.find(Owner.Record.Accepted.Queue);
-    PoolDemand &Into =
-        Demand[From == nullptr ? Owner.Record.Accepted.Pool : From->Pool];
-    const bool New = Now - Owner.Record.Accepted.At < ArrivalWindow;
-    const std::int64_t Weight = New ? 1 + FollowersExpected : 1;
-    for (unsigned Step = 0; Step < Owner.spec().Steps.size(); ++Step) {
-      addDemand(Owner, 0, Step, Weight, Into);
-    }
-  }
-  return Demand;
-}
-
 } // namespace
 
 std::optional<TaskRef> taskToMove(const WorkerState &Worker,
@@ -349,76 +288,6 @@
   }
 }
 
-std::vector<PoolHost> HostKeeper::poolHosts(const Dispatcher &Workers) const {
-  std::vector<PoolHost> All;
-  for (const auto &[Name, Host] : Hosts) {
-    const bool ForWave = std::any_of(
-        Waves.begin(), Waves.end(), [&, Key = Name](const auto &Each) {
-          return Each.second.Draining.contains(Key);
-        });
-    if (Host.Status == HostStatus::Down ||
-        Host.Status == HostStatus::Maintenance || ForWave) {
-      continue; // gives its pool nothing now
-    }
-    PoolHost View;
-    View.Name = Name;
-    View.Pool = Host.Pool;
-    View.Capacity = Host.Capacity;
-    const auto Way = Moving.find(Name);
-    if (Way != Moving.end()) {
-      View.Pool = Way->second.To;
-    }
-    const WorkerState *Worker = workerOf(Host, Workers);
-    View.Movable = Host.Status == HostStatus::Up && Way == Moving.end() &&
-                   !Ordered.contains(Name) && !Unsettled.contains(Name) &&
-                   !settling(Name) &&
-                   (Worker == nullptr || !Worker->Record.Draining);
-    View.Vacant = Worker == nullptr || Worker->Runs.empty();
-    View.Lasting =
-        Worker != nullptr &&
-        std::any_of(Worker->Runs.begin(), Worker->Runs.end(),
-                    [](const auto &Run) { return Run.second.Lasting; });
-    View.Draining = DrainingForMove.contains(Name);
-    View.UsedCpuMilli = usedOf(Host, Workers);
-    All.push_back(std::move(View));
-  }
-  return All;
-}
-
-void HostKeeper::decideMoves(Dispatcher &Workers, const jobs::JobBook &Jobs,
-                             const Deployment &Config,
-                             std::vector<HostDecision> &Into) {
-  const Instant Now = Time.now();
-  std::erase_if(Moving, [&](const auto &Each) {
-    return Now - Each.second.Since > Settings.MoveTime + ReturnMargin;
-  });
-  const PoolPlan Plan =
-      Pools.plan(Now, Config.Pools, demandOf(Jobs, Config, Time.wallNow()),
-                 poolHosts(Workers));
-  for (const PoolPlan::Step &Step : Plan.Moves) {
-    const HostRecord *Host = find(Step.Host);
-    Moving[Step.Host] = {Step.To, Now};
-    DrainingForMove.erase(Step.Host);
-    give({Step.Host, Host->WorkerId, 0, Step.To}, Workers, Into);
-  }
-  const std::set<HostName> Wanted(Plan.Drains.begin(), Plan.Drains.end());
-  for (const HostName &Name : Wanted) {
-    if (DrainingForMove.insert(Name).second) {
-      Workers.setCordoned(find(Name)->WorkerId, true);
-    }
-  }
-  std::erase_if(DrainingForMove, [&](const HostName &Name) {
-    const HostRecord *Host = find(Name);
-    if (Wanted.contains(Name)) {
-      return false;
-    }
-    if (Host != nullptr) {
-      Workers.setCordoned(Host->WorkerId, false);
-    }
-    return true;
-  });
-}
-
 void HostKeeper::answered(const HostOrder &Order, bool Taken) {
   Ordered.erase(Order.Host);
   Unsettled[Order.Host] = {Order, Taken};
--- a/Source/Jobs/JobBook.cpp
+++ b/Source/Jobs/JobBook.cpp
@@ -4,6 +4,7 @@
 #include "balsamlatch/Jobs/JobBook.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace balsamlatch::jobs {
 
@@ -59,6 +60,10 @@
 
 } // namespace
 
+std::string placeOf(const TaskRef &Task) {
+  return fmt::format("{}.{}.{}", Task.Occurrence, Task.Step, Task.Index);
+}
+
 const JobId &jobOf(const JobEvent &Event) {
   struct Visitor {
     const JobId &operator()(const JobAccepted &E) const { return E.Job; }
--- a/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
@@ -33,6 +33,9 @@
   auto operator<=>(const TaskRef &) const = default;
 };
 
+/// Where a task stands in its job: OCCURRENCE.STEP.INDEX.
+std::string placeOf(const TaskRef &Task);
+
 /// One life of a worker process: a restart under the same ID is another life.
 struct WorkerLife {
   std::string Id;
--- a/Source/Platform/include/balsamlatch/Platform/HostList.h
+++ b/Source/Platform/include/balsamlatch/Platform/HostList.h
@@ -5,6 +5,7 @@
 #ifndef BALSAMLATCH_PLATFORM_HOSTLIST_H
 #define BALSAMLATCH_PLATFORM_HOSTLIST_H
 
+#include "balsamlatch/Base/Address.h"
 #include "balsamlatch/Base/Clock.h"
 #include "balsamlatch/Base/Ids.h"
 
@@ -18,14 +19,6 @@
 
 namespace balsamlatch {
 
-/// IP number and port.
-struct Address {
-  std::string Ip;
-  std::uint16_t Port = 0;
-
-  auto operator<=>(const Address &) const = default;
-};
-
 enum class HostRole { Worker, Entry };
 enum class HostPresence { Live, Leaving };
 
