--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -155,7 +155,7 @@
 
 void Holder::beginTerm() {
   Stage = Leading;
-  Decisions.begin(token(), TermNumber, *Book);
+  Decisions.begin(token(), *Book);
   Decisions.configure(Config);
   Decisions.setWorkers(Listed);
   Log.write(LogLevel::Info, "term-begun",
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -46,11 +46,9 @@
                        LogSink &Sink)
     : Time(TimeSource), Settings(Options), Log(Sink) {}
 
-void Dispatcher::begin(FencingToken NewToken, std::uint64_t TermNumber,
-                       const jobs::JobBook &Jobs) {
+void Dispatcher::begin(FencingToken NewToken, const jobs::JobBook &Jobs) {
   end();
   Token = NewToken;
-  Term = TermNumber;
   Book = &Jobs;
   TermBegan = Time.now();
   for (const auto &[Id, Each] : Jobs.jobs()) {
--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -301,13 +301,15 @@
                       Host->WorkerId != Order.WorkerId;
     if (Gone) {
       Workers.hostTaken(Order.WorkerId);
-      settleGone(Order);
     } else {
       Workers.setLeaving(Order.WorkerId, false);
       Moving.erase(Name);
     }
     if (const auto Found = Waves.find(Order.Wave); Found != Waves.end()) {
       Found->second.Draining.erase(Name);
+      if (Gone) {
+        Found->second.Away[Name] = Time.now();
+      }
       if (Gone || Taken) {
         Found->second.Done.insert(Name);
       }
@@ -321,12 +323,6 @@
   }
 }
 
-void HostKeeper::settleGone(const HostOrder &Order) {
-  if (const auto Found = Waves.find(Order.Wave); Found != Waves.end()) {
-    Found->second.Away[Order.Host] = Time.now();
-  }
-}
-
 void HostKeeper::refused(const HostOrder &Order, Dispatcher &Workers) {
   Ordered.erase(Order.Host);
   Moving.erase(Order.Host);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -51,8 +51,7 @@
 
   /// Begins a term with the book as the journal has it. The book must outlive
   /// the term. All that is placed in it may still run.
-  void begin(FencingToken Token, std::uint64_t TermNumber,
-             const jobs::JobBook &Jobs);
+  void begin(FencingToken Token, const jobs::JobBook &Jobs);
   /// Ends the term; nothing is ordered any more.
   void end();
 
@@ -155,7 +154,6 @@
   const jobs::JobBook *Book = nullptr;
   std::shared_ptr<const Deployment> Config;
   FencingToken Token;
-  std::uint64_t Term = 0;
   Instant TermBegan{};
   bool Fenced = false;
   bool PlanNeeded = false;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostKeeper.h
@@ -104,7 +104,6 @@
   };
 
   void settle(Dispatcher &Workers);
-  void settleGone(const HostOrder &Order);
   const HostRecord *find(const HostName &Name) const;
   /// An earlier holder may have ordered the host a moment ago.
   bool settling(const HostName &Name) const;
--- a/Tests/Dispatch/World.cpp
+++ b/Tests/Dispatch/World.cpp
@@ -180,7 +180,7 @@
   RecordInFlight = false;
   Requested.clear();
   Decisions = std::make_unique<Dispatcher>(Time, DispatchOptions(), Log);
-  Decisions->begin(FencingToken(Term), Term, Book);
+  Decisions->begin(FencingToken(Term), Book);
   Decisions->configure(Config);
 }
 
