fleet: Take no tasks together that may have begun their work

Tasks that were not known to be at work did not count at all.

Change: such tasks count as away and hold the order up; tasks on workers that are silent, or were not heard of for 2 s, count as away as well.

Ruled out: orders of an earlier holder (one holder all the while), tasks that are stopped one by one (they count as away at once).

Two tests that fail before: tasks that may have begun, old reports.

--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -17,17 +17,29 @@
 /// of the wave's hosts.
 constexpr Duration UsualTurn = std::chrono::seconds(6);
 
+/// What a worker reported longer ago may have changed: reports of workers with
+/// runs are at most a hold's wait apart.
+constexpr Duration ReportTrust = std::chrono::milliseconds(2000);
+
 bool atWork(const RunState &Run) {
   constexpr unsigned Whole = 100;
   return Run.Phase == RunPhase::Running && !Run.StopWanted &&
          Run.Percent >= Whole;
 }
 
-/// The run of a task on a worker that stays; null when there is none.
+/// Whether the run may have begun its work since the worker's last report.
+bool mayBeAtWork(const RunState &Run) {
+  return Run.Phase != RunPhase::Ending && !Run.StopWanted;
+}
+
+/// The run of a task on a worker that stays and was heard of lately; null when
+/// there is none.
 const RunState *runOf(const TaskRef &Task, const jobs::TaskRecord &Record,
                       const Dispatcher &Workers) {
   const auto Worker = Workers.workers().find(Record.Worker.Id);
-  if (Worker == Workers.workers().end() || Worker->second.Leaving) {
+  if (Worker == Workers.workers().end() || Worker->second.Leaving ||
+      Worker->second.Silent ||
+      Workers.now() - Worker->second.LastReportAt > ReportTrust) {
     return nullptr;
   }
   const auto Run = Worker->second.Runs.find(Task);
@@ -75,22 +87,21 @@
 
 bool mayTakeAway(const WorkerState &Worker, const Dispatcher &Workers,
                  const jobs::JobBook &Jobs) {
-  std::map<std::tuple<JobId, unsigned, unsigned>, unsigned> Taken;
+  // Tasks at work here, by step; those that are not known to be count as away
+  // already.
+  std::map<TaskRef, unsigned> Taken;
   for (const auto &[Task, Run] : Worker.Runs) {
     const jobs::Job *Owner = Jobs.find(Task.Job);
-    if (Owner == nullptr || !Owner->open() || !Run.Lasting) {
-      continue;
-    }
-    const unsigned Allowed = Owner->spec().Steps[Task.Step].MaxUnavailable;
-    if (Allowed == 0 || !atWork(Run)) {
-      continue;
-    }
-    const unsigned Here = ++Taken[{Task.Job, Task.Occurrence, Task.Step}];
-    if (awayOfStep(*Owner, Task, Workers) + Here > Allowed) {
-      return false;
+    if (Owner != nullptr && Owner->open() && Run.Lasting && mayBeAtWork(Run) &&
+        Owner->spec().Steps[Task.Step].MaxUnavailable > 0) {
+      Taken[{Task.Job, Task.Occurrence, Task.Step, 0}] += atWork(Run) ? 1 : 0;
     }
   }
-  return true;
+  return std::all_of(Taken.begin(), Taken.end(), [&](const auto &Each) {
+    const jobs::Job *Owner = Jobs.find(Each.first.Job);
+    return awayOfStep(*Owner, Each.first, Workers) + Each.second <=
+           Owner->spec().Steps[Each.first.Step].MaxUnavailable;
+  });
 }
 
 HostKeeper::HostKeeper(const Clock &TimeSource, HostKeeperOptions Options,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -80,6 +80,7 @@
   bool fenced() const { return Fenced; }
 
   const WorkerTable &workers() const { return Workers; }
+  Instant now() const { return Time.now(); }
   void setCordoned(const std::string &WorkerId, bool Cordoned);
   /// An order that ends all that runs on the worker is about to be sent, or
   /// was refused.
--- a/Tests/Dispatch/HostKeeperTest.cpp
+++ b/Tests/Dispatch/HostKeeperTest.cpp
@@ -144,6 +144,34 @@
   BOOST_TEST(Taken <= 1);
 }
 
+BOOST_AUTO_TEST_CASE(TasksThatMayHaveBegunTheirWorkAreNotTakenTogether) {
+  // The worker's last report is from before its tasks were at work.
+  Fleet F(2);
+  F.W.Workers[0].Hangs = true;
+  F.W.Workers[1].Hangs = true;
+  jobs::JobSpec Spec = lastingJob(2);
+  Spec.Steps.front().MaxPerWorker = 0;
+  F.W.submit("a", Spec);
+  F.W.run(4s);
+  F.list();
+  const std::string First = F.W.Past.Runs.front().Worker;
+  BOOST_REQUIRE(F.W.Decisions->workers().at(First).Runs.size() == 2);
+  F.Keeper.addWave(waveOf({F.Hosts[First == "w0" ? 0 : 1]}, 1));
+  BOOST_TEST(F.decide().empty());
+}
+
+BOOST_AUTO_TEST_CASE(NoTaskIsTakenOnTheStrengthOfOldReports) {
+  Fleet F(3);
+  F.W.submit("a", lastingJob(2));
+  F.W.run(4s);
+  F.list();
+  F.Keeper.addWave(waveOf(F.Hosts, 3));
+  F.W.Time.advance(3s); // the holder was busy with other things
+  for (const HostOrder &Order : F.decide()) {
+    BOOST_TEST(F.W.Decisions->workers().at(Order.WorkerId).Runs.empty());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnOrderThatWasCarriedOutBeforeEndsNothing) {
   Fleet F(1);
   F.W.submit("a", lastingJob(1));
