control: Let the strongest entry lead; shorten a new holder's way

Cause: on the grown deployments an entry with 0.12 of a core and 10 Mbit/s led when it came first. Entries that the store didn't answer could not learn of a new holder, and requests that might have been done were given up after 0.7 s.

A known holder that doesn't answer is looked for at other entries as well.

A submission that may have been recorded is tried until its caller's deadline.

Ruled out: the network between entries and the store's rate limits (no 429 before the entries' own faults).

--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -3,13 +3,8 @@
 
 #include "balsamlatch/Control/Holder.h"
 
-#include <boost/json.hpp>
-#include <fmt/format.h>
-
 namespace balsamlatch::control {
 
-namespace json = boost::json;
-
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
@@ -22,35 +17,21 @@
 /// which a later holder no longer allows for the runs that it was about.
 constexpr Duration MaxAnswerAge = std::chrono::seconds(2);
 constexpr Duration CompactPeriod = std::chrono::seconds(1);
-/// Records that the journal may have before old ones are written anew.
-constexpr std::uint64_t JournalRecordsKept = 1500;
+/// Records that the journal may have before old ones are written anew. A new
+/// holder reads them all before it answers anything.
+constexpr std::uint64_t JournalRecordsKept = 300;
+/// Bounds one record's size; jobs that have ended take little room.
 constexpr std::size_t SnapshotsAtOnce = 40;
+constexpr std::size_t SummariesAtOnce = 600;
 
 } // namespace
 
-std::string encodeHolder(const HolderRecord &Record) {
-  return json::serialize(json::object{
-      {"entry", Record.Entry}, {"ip", Record.Ip}, {"port", Record.Port}});
-}
-
-absl::StatusOr<HolderRecord> decodeHolder(std::string_view Text) {
-  try {
-    const json::value Parsed = json::parse(json::string_view(Text));
-    const json::object &Fields = Parsed.as_object();
-    return HolderRecord{std::string(Fields.at("entry").as_string()),
-                        std::string(Fields.at("ip").as_string()),
-                        Fields.at("port").to_number<std::uint16_t>()};
-  } catch (const std::exception &Fault) {
-    return absl::DataLossError(
-        fmt::format("the holder's record can't be read: {}", Fault.what()));
-  }
-}
-
 Holder::Holder(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
                RecordStore &Target, WorkerPort &Orders, HolderOptions Wanted)
     : Loop(Runner), Time(TimeSource), Log(Sink), Store(Target), Workers(Orders),
       Settings(std::move(Wanted)),
-      Lead(Runner, Target, Sink, {Settings.Key}, [this] { leadChanged(); }),
+      Lead(Runner, Target, Sink, {Settings.Prefix}, [this] { leadChanged(); }),
+      Entries(Runner, Sink, Target, Settings.Self, Settings.EntryPrefix),
       Records(Runner, TimeSource, Target, Sink),
       Decisions(TimeSource, Settings.Dispatch, Sink) {}
 
@@ -59,27 +40,71 @@
 void Holder::start() { Lead.start(); }
 
 void Holder::leadChanged() {
+  Entries.update(Lead.items());
   const auto Found = Lead.items().find(Settings.Key);
   if (Found == Lead.items().end()) {
     Known.reset();
-    if (Stage == Following) {
-      acquire();
-    }
+    leadFree();
     return;
   }
-  const auto Record = decodeHolder(Found->second.Value);
+  if (Found->second.Revision < KnownToken) {
+    return; // another entry knows of a later holder
+  }
+  const auto Record = decodeEntry(Found->second.Value);
   if (!Record.ok()) {
     Log.write(LogLevel::Error, "holder-unreadable",
               {{"why", std::string(Record.status().message())}});
     return;
   }
   Known = *Record;
-  if ((Stage == Leading || Stage == Loading) &&
-      Found->second.Revision > Token) {
+  KnownToken = Found->second.Revision;
+  if ((Stage == Leading || Stage == Loading) && KnownToken > Token) {
     stepDown("another entry has taken over");
   }
 }
 
+void Holder::leadFree() {
+  if (Stage != Following || LeavingLead) {
+    return;
+  }
+  const Duration Handicap = Entries.handicap();
+  if (Handicap == Duration::zero()) {
+    acquire();
+    return;
+  }
+  LeavingLead = true;
+  Loop.after(Handicap, [this] {
+    LeavingLead = false;
+    if (Stage == Following && Lead.complete() &&
+        !Lead.items().contains(Settings.Key)) {
+      acquire();
+    }
+  });
+}
+
+LeadView Holder::view() const {
+  return {Known, KnownToken, Stage == Following && Lead.reachable()};
+}
+
+void Holder::learn(const LeadView &View) {
+  if (!View.Known || View.Token <= KnownToken) {
+    return;
+  }
+  Log.write(LogLevel::Info, "holder-learnt",
+            {{"holder", View.Known->Entry}, {"token", View.Token}});
+  Known = View.Known;
+  KnownToken = View.Token;
+  if ((Stage == Leading || Stage == Loading) && KnownToken > Token) {
+    stepDown("another entry has taken over");
+  }
+}
+
+void Holder::yield() {
+  if (Stage == Leading) {
+    stepDown("a stronger entry can lead");
+  }
+}
+
 void Holder::acquire() {
   Stage = Acquiring;
   Store.grantLease(Settings.LeaseTime, [this](const LeaseReply &Reply) {
@@ -103,7 +128,7 @@
 void Holder::claim(std::uint64_t NewLease) {
   Transaction Take;
   Take.Conditions = {{Settings.Key, 0}};
-  Take.Writes = {{Settings.Key, encodeHolder(Settings.Self), NewLease}};
+  Take.Writes = {{Settings.Key, encodeEntry(Settings.Self), NewLease}};
   Store.commit(std::move(Take),
                [this, NewLease](const TransactionReply &Reply) {
                  if (Stage != Acquiring || !Reply.Status.ok()) {
@@ -119,6 +144,7 @@
                  }
                  Lease = NewLease;
                  Token = Reply.Revision;
+                 KnownToken = Token;
                  Known = Settings.Self;
                  StoreAnsweredAt = Time.now();
                  ++TermNumber;
@@ -177,7 +203,9 @@
   Log.write(LogLevel::Warning, "lead-lost", {{"token", Token}, {"why", Why}});
   Stage = Following;
   ++TermNumber;
-  Known.reset();
+  if (KnownToken == Token) {
+    Known.reset();
+  }
   Records.stop();
   Decisions.end();
   Store.endLease(Lease);
@@ -351,10 +379,15 @@
   }
   // Jobs whose events stand in the oldest half are written anew.
   const std::uint64_t Before = Records.next() - JournalRecordsKept / 2;
-  std::size_t Count = 0;
+  std::size_t Snapshots = 0;
+  std::size_t Summaries = 0;
   for (const auto &[Id, Each] : Book->jobs()) {
-    if (Each.FirstRecord < Before && Count < SnapshotsAtOnce) {
-      Requested.emplace_back(Each.Record);
+    if (Each.FirstRecord >= Before) {
+      continue;
+    }
+    std::size_t &Count = Each.settled() ? Summaries : Snapshots;
+    if (Count < (Each.settled() ? SummariesAtOnce : SnapshotsAtOnce)) {
+      Requested.emplace_back(Each.snapshot());
       ++Count;
     }
   }
--- a/Source/Control/JobRouter.cpp
+++ b/Source/Control/JobRouter.cpp
@@ -14,29 +14,32 @@
 /// is sent again, perhaps to the next one.
 constexpr Duration TryTimeout = std::chrono::milliseconds(700);
 constexpr Duration ProbeTimeout = std::chrono::milliseconds(500);
-/// Least time between two looks for the holder.
-constexpr Duration LookPeriod = std::chrono::milliseconds(150);
 
 } // namespace
 
 struct JobRouter::Try {
   JobRequest What;
-  Instant Deadline{};
+  RequestTimes Times;
   JobService::Answer Done;
   /// A try went out and wasn't answered.
   bool MayBeDone = false;
+
+  Instant end() const { return MayBeDone ? Times.Deadline : Times.Patience; }
 };
 
 JobRouter::JobRouter(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
                      Holder &Here, http::Client &Peers)
-    : Loop(Runner), Time(TimeSource), Log(Sink), Local(Here), Remote(Peers) {}
+    : Loop(Runner), Time(TimeSource), Log(Sink), Local(Here), Remote(Peers),
+      Finder(Runner, TimeSource, Here, Peers) {}
 
-void JobRouter::request(JobRequest What, Instant Deadline,
+void JobRouter::request(JobRequest What, RequestTimes Times,
                         JobService::Answer Done) {
   attempt(std::make_shared<Try>(
-      Try{std::move(What), Deadline, std::move(Done), false}));
+      Try{std::move(What), Times, std::move(Done), false}));
 }
 
+void JobRouter::start() { Finder.start(); }
+
 bool JobRouter::failingFor(Duration Length) const {
   return FailingSince && Time.now() - *FailingSince >= Length;
 }
@@ -45,8 +48,9 @@
   if (std::exchange(Probing, true)) {
     return;
   }
-  Local.lookAgain();
-  request(AskQueue{}, Time.now() + ProbeTimeout,
+  Finder.look();
+  const Instant End = Time.now() + ProbeTimeout;
+  request(AskQueue{}, {End, End},
           [this](const JobReply &) { Probing = false; });
 }
 
@@ -57,23 +61,21 @@
     });
     return;
   }
-  const std::optional<HolderRecord> Known = Local.known();
+  const std::optional<EntryRecord> Known = Local.known();
   if (!Known) {
+    Finder.look();
     answered(What, {JobReply::NotHolder});
     return;
   }
   const Duration Left =
-      std::min<Duration>(TryTimeout, What->Deadline - Time.now());
+      std::min<Duration>(TryTimeout, What->end() - Time.now());
   Remote.call(Known->Ip, Known->Port, encodeRequest(What->What), Left,
               [this, What](const http::Outcome &Came) {
                 if (Came.Status.ok()) {
                   answered(What, decodeReply(Came.Answer));
                   return;
                 }
-                if (Time.now() >= NextLookAt) {
-                  NextLookAt = Time.now() + LookPeriod;
-                  Local.lookAgain();
-                }
+                Finder.look();
                 answered(What, {absl::IsUnavailable(Came.Status)
                                     ? JobReply::NotHolder
                                     : JobReply::Unknown});
@@ -90,7 +92,7 @@
     return;
   }
   What->MayBeDone = What->MayBeDone || Reply.Outcome == JobReply::Unknown;
-  if (Time.now() + RetryPause >= What->Deadline) {
+  if (Time.now() + RetryPause >= What->end()) {
     if (!FailingSince) {
       FailingSince = Time.now();
       Log.write(LogLevel::Warning, "holder-lost",
--- a/Source/Control/include/balsamlatch/Control/Holder.h
+++ b/Source/Control/include/balsamlatch/Control/Holder.h
@@ -6,6 +6,7 @@
 #ifndef BALSAMLATCH_CONTROL_HOLDER_H
 #define BALSAMLATCH_CONTROL_HOLDER_H
 
+#include "balsamlatch/Control/EntryRegistry.h"
 #include "balsamlatch/Control/JobService.h"
 #include "balsamlatch/Control/Journal.h"
 #include "balsamlatch/Control/Ports.h"
@@ -16,22 +17,24 @@
 
 namespace balsamlatch::control {
 
-/// Who holds the jobs, as the store has it.
-struct HolderRecord {
-  std::string Entry;
-  std::string Ip;
-  std::uint16_t Port = 0;
+/// What an entry knows of the lead.
+struct LeadView {
+  std::optional<EntryRecord> Known;
+  /// The fencing token of the known holder, or of the last one.
+  std::uint64_t Token = 0;
+  /// The entry doesn't lead, and the store answers it.
+  bool CanLead = false;
 
-  auto operator<=>(const HolderRecord &) const = default;
+  auto operator<=>(const LeadView &) const = default;
 };
 
-std::string encodeHolder(const HolderRecord &Record);
-absl::StatusOr<HolderRecord> decodeHolder(std::string_view Text);
-
 struct HolderOptions {
-  HolderRecord Self;
-  /// The holder's key in the store, and the prefix to watch for it.
+  EntryRecord Self;
+  /// The holder's key in the store; entries register under EntryPrefix. Both
+  /// stand below Prefix, which is watched.
+  std::string Prefix = "lead/";
   std::string Key = "lead/jobs";
+  std::string EntryPrefix = "lead/entries/";
   Duration LeaseTime = std::chrono::milliseconds(1500);
   Duration RenewPeriod = std::chrono::milliseconds(400);
   /// Shortest time between two journal records.
@@ -55,9 +58,15 @@
   void request(JobRequest What, Answer Done) override;
 
   /// Who leads, as far as is known here.
-  std::optional<HolderRecord> known() const { return Known; }
+  std::optional<EntryRecord> known() const { return Known; }
+  LeadView view() const;
+  /// Takes in what another entry knows, if it is newer.
+  void learn(const LeadView &View);
   /// Looks again who leads, since the known one doesn't answer.
   void lookAgain() { Lead.refresh(); }
+  /// Ends the term, so that a stronger entry can lead.
+  void yield();
+  const EntryRegistry &registry() const { return Entries; }
   bool leading() const { return Stage == Leading; }
   /// Leads, and the lease is certainly in force.
   bool certain() const;
@@ -75,6 +84,7 @@
   enum StageKind { Following, Acquiring, Loading, Leading, Retired };
 
   void leadChanged();
+  void leadFree();
   void acquire();
   void claim(std::uint64_t Lease);
   void load();
@@ -102,6 +112,7 @@
   WorkerPort &Workers;
   const HolderOptions Settings;
   PrefixMirror Lead;
+  EntryRegistry Entries;
   Journal Records;
   dispatch::Dispatcher Decisions;
   std::unique_ptr<jobs::JobBook> Book = std::make_unique<jobs::JobBook>();
@@ -109,7 +120,11 @@
   std::map<std::string, dispatch::WorkerRecord> Listed;
 
   StageKind Stage = Following;
-  std::optional<HolderRecord> Known;
+  std::optional<EntryRecord> Known;
+  /// Token of the newest holder that was heard of.
+  std::uint64_t KnownToken = 0;
+  // The lead is free and left to stronger entries for a moment.
+  bool LeavingLead = false;
   std::uint64_t Lease = 0;
   /// Revision of the holder's key; also the fencing token.
   std::uint64_t Token = 0;
--- a/Source/Control/include/balsamlatch/Control/JobRouter.h
+++ b/Source/Control/include/balsamlatch/Control/JobRouter.h
@@ -6,19 +6,30 @@
 #ifndef BALSAMLATCH_CONTROL_JOBROUTER_H
 #define BALSAMLATCH_CONTROL_JOBROUTER_H
 
-#include "balsamlatch/Control/Holder.h"
-#include "balsamlatch/Http/Client.h"
+#include "balsamlatch/Control/LeadFinder.h"
 
 namespace balsamlatch::control {
 
+/// Until when a request is tried.
+struct RequestTimes {
+  /// While it is certain that nothing was done: the caller is better off
+  /// elsewhere then.
+  Instant Patience{};
+  /// Once it may have been done.
+  Instant Deadline{};
+};
+
 class JobRouter {
 public:
   JobRouter(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
             Holder &Here, http::Client &Peers);
 
-  /// Answers by \p Deadline. Unknown: it may have been done; NotHolder: it
-  /// certainly was not, since no holder could be reached.
-  void request(JobRequest What, Instant Deadline, JobService::Answer Done);
+  /// Begins to look for a stronger entry whenever this one leads.
+  void start();
+
+  /// Answers in time. Unknown: it may have been done; NotHolder: it certainly
+  /// was not, since no holder could be reached.
+  void request(JobRequest What, RequestTimes Times, JobService::Answer Done);
 
   /// Whether no holder has answered for \p Length, though requests asked for
   /// one. Callers are served better by another entry then.
@@ -38,10 +49,10 @@
   LogSink &Log;
   Holder &Local;
   http::Client &Remote;
+  LeadFinder Finder;
   // When the first of the requests since the last answer failed.
   std::optional<Instant> FailingSince;
   bool Probing = false;
-  Instant NextLookAt{};
 };
 
 } // namespace balsamlatch::control
--- a/Source/Control/include/balsamlatch/Control/PrefixMirror.h
+++ b/Source/Control/include/balsamlatch/Control/PrefixMirror.h
@@ -40,6 +40,8 @@
   const Items &items() const { return Current; }
   /// Whether a listing has succeeded since start().
   bool complete() const { return Complete; }
+  /// Whether the store answered the last call.
+  bool reachable() const { return Complete && Reachable; }
 
 private:
   struct Life;
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -79,6 +79,9 @@
 } // namespace
 
 void Dispatcher::noteArrival(const Job &Owner) {
+  if (Owner.spec().Steps.empty()) {
+    return; // settled long ago
+  }
   double &Mean = MeanWork[Owner.Record.Accepted.Queue];
   const double Work = workOf(Owner.spec());
   Mean = Mean == 0 ? Work : Mean + MeanWeight * (Work - Mean);
--- a/Source/Jobs/JobBook.cpp
+++ b/Source/Jobs/JobBook.cpp
@@ -110,6 +110,20 @@
   return &Found->second[Task.Step][Task.Index];
 }
 
+JobSnapshot Job::snapshot() const {
+  if (!settled()) {
+    return Record;
+  }
+  JobSnapshot Rest;
+  Rest.Accepted.Job = Record.Accepted.Job;
+  Rest.Accepted.Queue = Record.Accepted.Queue;
+  Rest.Accepted.At = Record.Accepted.At;
+  Rest.State = Record.State;
+  Rest.ClosedAt = Record.ClosedAt;
+  Rest.Begun = Record.Begun;
+  return Rest;
+}
+
 std::uint32_t Job::worstFailures() const {
   std::uint32_t Worst = 0;
   for (const auto &[Number, Steps] : Record.Occurrences) {
--- a/Source/Jobs/include/balsamlatch/Jobs/JobBook.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobBook.h
@@ -25,6 +25,10 @@
   const JobSpec &spec() const { return Record.Accepted.Spec; }
   const JobId &id() const { return Record.Accepted.Job; }
   bool open() const { return !isFinal(Record.State); }
+  /// Final, and nothing of it can still run.
+  bool settled() const { return !open() && PlacedTasks == 0; }
+  /// Replaces the job's events. Of a settled job only its state remains.
+  JobSnapshot snapshot() const;
 
   /// Whether all steps that \p Step waits for are done.
   bool ready(unsigned Occurrence, unsigned Step) const;
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -8,6 +8,7 @@
 #include "balsamlatch/Control/Holder.h"
 #include "balsamlatch/Control/JobRouter.h"
 #include "balsamlatch/Control/JobWire.h"
+#include "balsamlatch/Http/Server.h"
 #include "balsamlatch/Jobs/JournalCodec.h"
 
 #include <boost/test/unit_test.hpp>
@@ -94,6 +95,7 @@
 struct HolderFixture : Fixture {
   std::shared_ptr<dispatch::Deployment> Config =
       std::make_shared<dispatch::Deployment>();
+  Duration RecordGap = 15ms;
 
   HolderFixture() {
     Config->Version = 1;
@@ -102,9 +104,11 @@
     Config->Queues.front().Pool = PoolName("p");
   }
 
-  std::unique_ptr<Holder> holder(const std::string &Name) {
+  std::unique_ptr<Holder> holder(const std::string &Name,
+                                 unsigned CpuMilli = 0) {
     HolderOptions Options;
-    Options.Self = {Name, "127.0.0.1", 1};
+    Options.Self = {Name, "127.0.0.1", 1, CpuMilli};
+    Options.RecordGap = RecordGap;
     auto New =
         std::make_unique<Holder>(Loop, Time, Log, Store, Workers, Options);
     New->configure(Config);
@@ -194,7 +198,7 @@
                         HolderFixture) {
   auto First = holder("one");
   BOOST_TEST(runUntil([&] { return First->leading(); }));
-  Store.put("lead/jobs", encodeHolder({"two", "127.0.0.1", 2}));
+  Store.put("lead/jobs", encodeEntry({"two", "127.0.0.1", 2}));
   const std::optional<JobReply> Reply = ask(*First, job("a"));
   BOOST_TEST((Reply->Outcome == JobReply::Unknown ||
               Reply->Outcome == JobReply::NotHolder));
@@ -240,7 +244,8 @@
   http::Client Peers(Loop.context(), {});
   JobRouter Router(Loop, Time, Log, *Only, Peers);
   std::optional<JobReply> Came;
-  Router.request(AskJob{jobs::JobId("a")}, Time.now() + 50ms,
+  const Instant End = Time.now() + 50ms;
+  Router.request(AskJob{jobs::JobId("a")}, {End, End},
                  [&](const JobReply &Reply) { Came = Reply; });
   BOOST_TEST(runUntil([&] { return Came.has_value(); }));
   BOOST_TEST((Came->Outcome == JobReply::NotHolder));
@@ -252,6 +257,111 @@
   BOOST_TEST(runUntil([&] { return !Router.failingFor(0ms); }));
 }
 
+BOOST_FIXTURE_TEST_CASE(AFreeLeadIsLeftToStrongerEntries, HolderFixture) {
+  Store.put("lead/entries/strong", encodeEntry({"strong", "::", 1, 500}));
+  auto Weak = holder("weak", 120);
+  runFor(100ms);
+  BOOST_TEST(!Weak->leading());
+  auto Strong = holder("strong", 500);
+  BOOST_TEST(runUntil([&] { return Strong->leading(); }));
+  runFor(400ms);
+  BOOST_TEST(!Weak->leading());
+  // Without the strong one, the weak one leads.
+  Strong->retire();
+  BOOST_TEST(runUntil([&] { return Weak->leading(); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(AWeakHolderOffersTheLead, HolderFixture) {
+  LeadView Strong{std::nullopt, 0, false};
+  http::ServerOptions At;
+  At.Ip = "127.0.0.1";
+  http::Server Server(Loop.context(), At, [&](const http::Exchange &Call) {
+    Call.Respond(encodeLeadView(Strong));
+  });
+  BOOST_REQUIRE(Server.start().ok());
+  Store.put("lead/entries/strong",
+            encodeEntry({"strong", "127.0.0.1", Server.port(), 500}));
+  auto Weak = holder("weak", 120);
+  http::Client Peers(Loop.context(), {});
+  LeadFinder Finder(Loop, Time, *Weak, Peers);
+  BOOST_TEST(runUntil([&] { return Weak->leading(); }));
+  Finder.start();
+  runFor(2500ms);
+  BOOST_TEST(Weak->leading()); // the strong one is cut off from the store
+  Strong.CanLead = true;
+  bool Offered = false;
+  Weak->OnTerm = [&](bool Leading) { Offered = Offered || !Leading; };
+  runFor(2500ms);
+  BOOST_TEST(Offered);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEntryThatTheStoreDoesNotAnswerLearnsOfTheHolder,
+                        HolderFixture) {
+  const EntryRecord Next{"two", "127.0.0.1", 2};
+  auto First = holder("one");
+  BOOST_TEST(runUntil([&] { return First->leading(); }));
+  const std::uint64_t Token = First->token().Value;
+  Store.Away = true;
+  First->learn({Next, Token - 1, false});
+  BOOST_TEST(First->leading());
+  First->learn({Next, Token + 1, false});
+  BOOST_TEST(!First->leading());
+  BOOST_TEST((First->known() == Next));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARequestThatMayBeDoneIsTriedUntilItsDeadline,
+                        HolderFixture) {
+  auto Only = holder("one");
+  BOOST_TEST(runUntil([&] { return Only->leading(); }));
+  http::Client Peers(Loop.context(), {});
+  JobRouter Router(Loop, Time, Log, *Only, Peers);
+  Store.Away = true;
+  std::optional<JobReply> Came;
+  Router.request(job("a"), {Time.now() + 50ms, Time.now() + 2s},
+                 [&](const JobReply &Reply) { Came = Reply; });
+  runFor(30ms);
+  Only->yield(); // its record is on the way
+  runFor(200ms);
+  BOOST_TEST(!Came.has_value());
+  Store.Away = false;
+  Store.expire(Store.Items.at("lead/jobs").Lease);
+  BOOST_TEST(runUntil([&] { return Came.has_value(); }));
+  BOOST_TEST((Came->Outcome == JobReply::Done));
+}
+
+BOOST_FIXTURE_TEST_CASE(TheJournalOfEndedJobsStaysShort, HolderFixture) {
+  RecordGap = 0ms;
+  constexpr int Jobs = 200;
+  auto First = holder("one");
+  BOOST_TEST(runUntil([&] { return First->leading(); }));
+  for (int Number = 0; Number < Jobs; ++Number) {
+    const std::string Id = fmt::format("j{}", Number);
+    BOOST_REQUIRE((ask(*First, job(Id))->Outcome == JobReply::Done));
+    BOOST_REQUIRE(
+        (ask(*First, CancelJob{jobs::JobId(Id)})->Outcome == JobReply::Done));
+  }
+  const auto Records = [&] {
+    return std::count_if(
+        Store.Items.begin(), Store.Items.end(),
+        [](const auto &Item) { return Item.first.starts_with("journal/"); });
+  };
+  // Old records go with later ones, some at a time.
+  int Later = 0;
+  for (int Round = 0; Round < 150; ++Round) {
+    BOOST_REQUIRE(ask(*First, job(fmt::format("later{}", ++Later))));
+    runFor(20ms);
+  }
+  BOOST_TEST(Records() < 300);
+  auto Second = holder("two");
+  First->retire();
+  BOOST_TEST(runUntil([&] { return Second->leading(); }));
+  for (int Number = 0; Number < Jobs; ++Number) {
+    const auto Reply =
+        ask(*Second, AskJob{jobs::JobId(fmt::format("j{}", Number))});
+    BOOST_TEST((Reply->State == jobs::JobState::Cancelled));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RequestsBetweenEntriesRoundTrip) {
   SubmitJob Submit{jobs::JobId("0123456789abcdef"), jobs::QueueName("q"), {}};
   Submit.Spec.Text = "text";
