dispatch: Ask placement policies before tasks are placed

Cause: a queue may have a policy that allows only some workers for a step; the worker refuses a start without the policy's ticket. Such queues' jobs never ran: the field was read over.

Change: queues carry their policy; the dispatcher asks about up to 30 workers with room, one query at a time, keeps what was decided for each step, and places tasks on allowed workers only, with the permit's ticket in the start. A permit that has run out or was refused is asked for again; a policy that doesn't answer is asked again after 100 ms.

Tests: the policy's word is kept without a refused start; permits that run out, are refused or don't come; decoding of queues and permits. Control, Dispatch and adapter tests pass.

--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -27,9 +27,10 @@
 } // namespace
 
 Holder::Holder(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
-               RecordStore &Target, WorkerPort &Orders, HolderOptions Wanted)
+               RecordStore &Target, WorkerPort &Orders, PolicyPort &Permits,
+               HolderOptions Wanted)
     : Loop(Runner), Time(TimeSource), Log(Sink), Store(Target), Workers(Orders),
-      Settings(std::move(Wanted)),
+      Policies(Permits), Settings(std::move(Wanted)),
       Lead(Runner, Target, Sink, {Settings.Prefix}, [this] { leadChanged(); }),
       Entries(Runner, Sink, Target, Settings.Self, Settings.EntryPrefix),
       Records(Runner, TimeSource, Target, Sink),
@@ -288,11 +289,31 @@
   for (const dispatch::WorkerOrder &Order : Decisions.takeOrders()) {
     send(Order);
   }
+  if (const auto Query = Decisions.takeQuery()) {
+    askPolicy(*Query);
+  }
   if (Decisions.fenced()) {
     stepDown("a worker has seen a later holder");
   }
 }
 
+void Holder::askPolicy(const dispatch::PermitQuery &Query) {
+  Policies.ask(Query, [this, Query, AskedAt = Time.now(), Term = TermNumber](
+                          absl::StatusOr<dispatch::PermitReply> Reply) {
+    if (Term != TermNumber) {
+      return;
+    }
+    if (!Reply.ok()) {
+      Log.write(LogLevel::Warning, "policy-unanswered",
+                {{"job", Query.Step.Job.Text},
+                 {"why", std::string(Reply.status().message())}});
+      Decisions.queryAnswered(Query, AskedAt, std::nullopt);
+      return;
+    }
+    Decisions.queryAnswered(Query, AskedAt, *std::move(Reply));
+  });
+}
+
 void Holder::send(const dispatch::WorkerOrder &Order) {
   struct Visitor {
     Holder &Owner;
--- a/Source/Control/include/balsamlatch/Control/Holder.h
+++ b/Source/Control/include/balsamlatch/Control/Holder.h
@@ -45,7 +45,8 @@
 class Holder final : public JobService {
 public:
   Holder(EventLoop &Runner, const Clock &TimeSource, LogSink &Sink,
-         RecordStore &Target, WorkerPort &Orders, HolderOptions Wanted);
+         RecordStore &Target, WorkerPort &Orders, PolicyPort &Permits,
+         HolderOptions Wanted);
   ~Holder() override;
 
   void start();
@@ -98,6 +99,7 @@
   void compact();
   void carryOut();
   void send(const dispatch::WorkerOrder &Order);
+  void askPolicy(const dispatch::PermitQuery &Query);
 
   void take(const SubmitJob &What, const Answer &Done);
   void take(const CancelJob &What, const Answer &Done);
@@ -110,6 +112,7 @@
   LogSink &Log;
   RecordStore &Store;
   WorkerPort &Workers;
+  PolicyPort &Policies;
   const HolderOptions Settings;
   PrefixMirror Lead;
   EntryRegistry Entries;
--- a/Source/Control/include/balsamlatch/Control/Ports.h
+++ b/Source/Control/include/balsamlatch/Control/Ports.h
@@ -1,12 +1,14 @@
 /// \file
 /// What the control of a fleet needs of its surroundings, besides the store:
-/// workers that take orders, and the hosts that they run on.
+/// workers that take orders, the hosts that they run on, and placement
+/// policies.
 
 #ifndef BALSAMLATCH_CONTROL_PORTS_H
 #define BALSAMLATCH_CONTROL_PORTS_H
 
 #include "balsamlatch/Dispatch/Hosts.h"
 #include "balsamlatch/Dispatch/Orders.h"
+#include "balsamlatch/Dispatch/Permits.h"
 
 #include <functional>
 
@@ -26,6 +28,15 @@
   virtual void pace(const dispatch::PaceOrder &Order, Done Answered) = 0;
 };
 
+/// Asks the service that decides for placement policies.
+class PolicyPort {
+public:
+  using Done = std::function<void(absl::StatusOr<dispatch::PermitReply>)>;
+
+  virtual ~PolicyPort() = default;
+  virtual void ask(const dispatch::PermitQuery &Query, Done Answered) = 0;
+};
+
 enum class HostOutcome {
   Done,
   /// Not up, or leaving; nothing was done.
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -71,6 +71,10 @@
   OpenJobs.clear();
   LastFailedOn.clear();
   EndingAt.clear();
+  Permits.clear();
+  Query.reset();
+  QueryInFlight = false;
+  NextQueryAt = {};
   BatchOpen = false;
   Events.clear();
   Orders.clear();
@@ -253,6 +257,7 @@
 
 void Dispatcher::recordOf(const jobs::JobClosed &Event) {
   OpenJobs.erase(Event.Job);
+  Permits.forget(Event.Job);
   CloseProposed.erase(Event.Job);
   for (auto &[Id, Worker] : Workers) {
     for (auto &[Task, Run] : Worker.Runs) {
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -137,6 +137,7 @@
   Order.LeaseUntil = Worker.clockAt(Now) +
                      std::chrono::duration_cast<WorkerClock>(Settings.RunLease);
   Order.Checkpoint = Owner->find(Task)->Checkpoint;
+  Order.Ticket = Run.Ticket;
   extendLapse(Worker, Now);
   Run.Phase = RunPhase::Ordered;
   Log.write(LogLevel::Info, "run-ordered",
@@ -161,6 +162,11 @@
   return std::exchange(Orders, {});
 }
 
+std::optional<PermitQuery> Dispatcher::takeQuery() {
+  QueryInFlight = QueryInFlight || Query;
+  return std::exchange(Query, std::nullopt);
+}
+
 void Dispatcher::setLeaving(const std::string &WorkerId, bool Leaving) {
   setCordoned(WorkerId, Leaving);
   const auto Found = Workers.find(WorkerId);
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -20,6 +20,7 @@
   unsigned Step = 0;
   unsigned Priority = 0;
   PoolName Pool;
+  std::optional<PlacementPolicy> Policy;
   Rank Order;
 
   const StepSpec &spec() const { return Owner->spec().Steps[Step]; }
@@ -37,6 +38,11 @@
 /// and one for each lasting run.
 constexpr double PreferredRackGain = 100;
 constexpr double FailedTherePenalty = 1000;
+/// Most workers of one query: what a step of usual width can need.
+constexpr std::size_t WorkersPerQuery = 30;
+/// A permit must hold until the start has arrived: the journal's record and
+/// the way.
+constexpr Duration PermitMargin = std::chrono::milliseconds(300);
 /// Weight of a new job in the mean of a queue's work.
 constexpr double MeanWeight = 0.05;
 
@@ -111,7 +117,8 @@
         Order = rankOf(Owner, K, From,
                        Mean == MeanWork.end() ? 0 : Mean->second, Now);
       }
-      Into.push_back({&Owner, K, Step, From.Priority, From.Pool, *Order});
+      Into.push_back(
+          {&Owner, K, Step, From.Priority, From.Pool, From.Policy, *Order});
     }
   }
 }
@@ -149,16 +156,19 @@
       Usable[Worker.Record.Pool].push_back(&Worker);
     }
   }
-  for (const Candidate &Which : candidates()) {
+  const std::vector<Candidate> Waiting = candidates();
+  for (const Candidate &Which : Waiting) {
     const auto Among = Usable.find(Which.Pool);
     if (Among != Usable.end()) {
       placeStep(Which, Among->second);
     }
   }
+  if (!QueryInFlight && !Query && Now >= NextQueryAt) {
+    queryPermits(Waiting, Usable, Now);
+  }
 }
 
-void Dispatcher::placeStep(const Candidate &Which,
-                           const std::vector<WorkerState *> &Among) {
+std::vector<unsigned> Dispatcher::waitingTasks(const Candidate &Which) const {
   std::vector<unsigned> Waiting;
   for (unsigned Index = 0; Index < Which.spec().Count; ++Index) {
     const TaskRecord *Task = Which.record(Index);
@@ -168,6 +178,40 @@
       Waiting.push_back(Index);
     }
   }
+  return Waiting;
+}
+
+void Dispatcher::queryPermits(const std::vector<Candidate> &Waiting,
+                              const PoolWorkers &Usable, Instant Now) {
+  for (const Candidate &Which : Waiting) {
+    const auto Among = Usable.find(Which.Pool);
+    if (!Which.Policy || Among == Usable.end() || waitingTasks(Which).empty()) {
+      continue;
+    }
+    PermitQuery Ask;
+    Ask.Step = stepOf(Which.task(0));
+    for (const WorkerState *Worker : Among->second) {
+      if (Ask.Workers.size() < WorkersPerQuery &&
+          claimOf(Which.spec()).fitsInto(Worker->room()) &&
+          Permits.worthAsking(Ask.Step, Worker->Record.Life,
+                              Now + PermitMargin)) {
+        Ask.Workers.push_back(Worker->Record.Life);
+      }
+    }
+    if (Ask.Workers.empty()) {
+      continue;
+    }
+    Ask.Expected =
+        Which.Policy->DecisionTime +
+        Which.Policy->TimePerWorker * static_cast<int>(Ask.Workers.size());
+    Query = std::move(Ask);
+    return;
+  }
+}
+
+void Dispatcher::placeStep(const Candidate &Which,
+                           const std::vector<WorkerState *> &Among) {
+  const std::vector<unsigned> Waiting = waitingTasks(Which);
   if (Which.spec().Gang) {
     placeGang(Which, Waiting, Among);
     return;
@@ -220,6 +264,7 @@
   const TaskRef Task = Which.task(Index);
   const Resources Claim = claimOf(Step);
   const auto Failed = LastFailedOn.find(Task);
+  const Instant PermitUntil = Time.now() + PermitMargin;
   WorkerState *Best = nullptr;
   double BestScore = 0;
   for (WorkerState *Worker : Among) {
@@ -227,7 +272,9 @@
         (!Step.RequiredLabel.empty() &&
          !Worker->hasLabel(Step.RequiredLabel)) ||
         (Step.MaxPerWorker > 0 &&
-         sameStep(*Worker, Task) >= Step.MaxPerWorker)) {
+         sameStep(*Worker, Task) >= Step.MaxPerWorker) ||
+        (Which.Policy && Permits.find(stepOf(Task), Worker->Record.Life,
+                                      PermitUntil) == nullptr)) {
       continue;
     }
     double Score = fitness(*Worker, Step);
@@ -252,6 +299,10 @@
   State.Claim = claimOf(Which.spec());
   State.Lasting = Which.spec().Lasting;
   State.Filler = Which.spec().Filler;
+  if (const std::string *Ticket =
+          Permits.find(stepOf(Task), Worker.Record.Life, Time.now())) {
+    State.Ticket = *Ticket;
+  }
   Worker.Claimed += State.Claim;
   Worker.Runs[Task] = State;
   Proposed.insert(Task);
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -19,6 +19,8 @@
 /// A worker that has no room, though it should have, is left alone so long.
 constexpr Duration NoRoomPause = std::chrono::milliseconds(100);
 constexpr Duration UnhealthyPause = std::chrono::milliseconds(500);
+/// Time from a query that wasn't answered to the next one.
+constexpr Duration QueryRetry = std::chrono::milliseconds(100);
 /// Time from a hold without answer to the next one.
 constexpr Duration SilentHoldPeriod = std::chrono::milliseconds(250);
 /// Time between holds while the journal is behind.
@@ -237,6 +239,9 @@
   case OrderOutcome::Unhealthy:
     Worker.AvoidUntil = Now + UnhealthyPause;
     break;
+  case OrderOutcome::NoPermit:
+    Permits.drop(stepOf(Order.Task), Order.To.WorkerId);
+    break;
   case OrderOutcome::OtherWorker:
     Worker.Contacted = false;
     Worker.NextHoldAt = Now;
@@ -258,6 +263,27 @@
   proposeEnd(Worker, Order.Task, *Run, RunEnd::Refused, {});
 }
 
+void Dispatcher::queryAnswered(const PermitQuery &Asked, Instant AskedAt,
+                               const std::optional<PermitReply> &Reply) {
+  if (Book == nullptr) {
+    return;
+  }
+  QueryInFlight = false;
+  PlanNeeded = true;
+  const jobs::Job *Owner = Book->find(Asked.Step.Job);
+  if (!Reply) {
+    NextQueryAt = Time.now() + QueryRetry;
+  } else if (Owner != nullptr && Owner->open()) {
+    Permits.answered(Asked, *Reply, AskedAt);
+  }
+  Log.write(LogLevel::Info, "permits-asked",
+            {{"job", Asked.Step.Job.Text},
+             {"step", Asked.Step.Step},
+             {"workers", Asked.Workers.size()},
+             {"allowed", Reply ? Reply->Allowed.size() : 0},
+             {"answered", Reply.has_value()}});
+}
+
 void Dispatcher::stopAnswered(const StopOrder &Order, OrderOutcome Outcome) {
   RunState *Run = Book == nullptr
                       ? nullptr
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
@@ -11,6 +11,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,16 @@
 using jobs::TaskRef;
 using jobs::WorkerLife;
 
+/// A queue's steps may run on some workers only, which a policy service
+/// decides. What its decisions take and how long they hold.
+struct PlacementPolicy {
+  Duration DecisionTime{};
+  Duration TimePerWorker{};
+  Duration Validity{};
+
+  auto operator<=>(const PlacementPolicy &) const = default;
+};
+
 struct Queue {
   QueueName Name;
   /// Requests whose Host header equals Host and whose path begins with Prefix
@@ -38,6 +49,8 @@
   unsigned Priority = 0;
   /// Failed runs of one task after which its job has failed.
   unsigned MaxAttempts = 1;
+  /// Unset: any worker of the pool will do.
+  std::optional<PlacementPolicy> Policy;
 
   auto operator<=>(const Queue &) const = default;
 };
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -14,6 +14,7 @@
 
 #include "balsamlatch/Base/Clock.h"
 #include "balsamlatch/Base/Log.h"
+#include "balsamlatch/Dispatch/Permits.h"
 #include "balsamlatch/Dispatch/WorkerState.h"
 #include "balsamlatch/Jobs/JobBook.h"
 
@@ -75,6 +76,11 @@
   /// when those taken before are recorded.
   std::vector<jobs::JobEvent> takeEvents();
   std::vector<WorkerOrder> takeOrders();
+  /// What to ask the placement policies. One query is out at a time.
+  std::optional<PermitQuery> takeQuery();
+  /// Unset: there is no answer.
+  void queryAnswered(const PermitQuery &Query, Instant AskedAt,
+                     const std::optional<PermitReply> &Reply);
 
   /// A worker has seen a higher token: this term is over.
   bool fenced() const { return Fenced; }
@@ -139,6 +145,7 @@
   std::vector<Candidate> candidates() const;
   void collect(const jobs::Job &Owner, const Queue &From,
                std::vector<Candidate> &Into) const;
+  std::vector<unsigned> waitingTasks(const Candidate &Which) const;
   void placeStep(const Candidate &Which,
                  const std::vector<WorkerState *> &Among);
   void placeGang(const Candidate &Which, const std::vector<unsigned> &Indexes,
@@ -147,6 +154,8 @@
                       const std::vector<WorkerState *> &Among) const;
   void propose(const Candidate &Which, unsigned Index, WorkerState &Worker,
                std::uint32_t Run);
+  void queryPermits(const std::vector<Candidate> &Waiting,
+                    const PoolWorkers &Usable, Instant Now);
   bool proposed(const TaskRef &Task) const { return Proposed.contains(Task); }
 
   const Clock &Time;
@@ -174,6 +183,10 @@
   std::map<TaskRef, std::string> LastFailedOn;
   // Workers of the runs that are Ending.
   std::unordered_map<TaskRef, std::string> EndingAt;
+  PermitBook Permits;
+  std::optional<PermitQuery> Query;
+  bool QueryInFlight = false;
+  Instant NextQueryAt{};
   // Events were taken and are not recorded yet.
   bool BatchOpen = false;
   std::vector<jobs::JobEvent> Events;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Orders.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Orders.h
@@ -41,6 +41,8 @@
   std::string SpecText;
   WorkerClock LeaseUntil{};
   std::string Checkpoint;
+  /// Of the placement policy's permit; empty where there is no policy.
+  std::string Ticket;
 
   auto operator<=>(const StartOrder &) const = default;
 };
@@ -109,6 +111,8 @@
   NoRoom,
   TooLate,
   OldRun,
+  /// The placement policy's permit isn't good; not carried out.
+  NoPermit,
   /// Another worker, or another life of it, is at the address; not carried
   /// out.
   OtherWorker,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -46,6 +46,8 @@
   Instant PercentChangedAt{};
   std::int64_t Gauge = 0;
   std::string Checkpoint;
+  /// Of the permit that it was placed by.
+  std::string Ticket;
   unsigned Pace = 100;
 };
 
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -30,6 +30,11 @@
   void pace(const dispatch::PaceOrder &, Done) override {}
 };
 
+class NoPolicies final : public PolicyPort {
+public:
+  void ask(const dispatch::PermitQuery &, Done) override {}
+};
+
 jobs::JobEvent accepted(const std::string &Id) {
   jobs::JobAccepted Event;
   Event.Job = jobs::JobId(Id);
@@ -43,6 +48,7 @@
   NullLog Log;
   FakeStore Store{Loop};
   NoWorkers Workers;
+  NoPolicies Policies;
 
   /// Runs the loop until the condition holds; false after two seconds.
   template <typename Condition> bool runUntil(Condition Holds) {
@@ -110,7 +116,8 @@
     Options.Self = {Name, "127.0.0.1", 1, CpuMilli};
     Options.RecordGap = RecordGap;
     auto New =
-        std::make_unique<Holder>(Loop, Time, Log, Store, Workers, Options);
+        std::make_unique<Holder>(Loop, Time, Log, Store, Workers, Policies,
+                                 Options);
     New->configure(Config);
     New->start();
     return New;
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -247,3 +247,85 @@
   W.run(100ms);
   BOOST_TEST(W.started("a") == 2);
 }
+
+namespace {
+
+/// A world whose queue has a placement policy that allows odd workers only.
+struct PolicyWorld : World {
+  explicit PolicyWorld(unsigned Count) : World(Count) {
+    Config->Queues.front().Policy = PlacementPolicy{50ms, 2ms, 1s};
+    for (unsigned Number = 0; Number < Count; ++Number) {
+      Workers[Number].Ticket = Number % 2 == 1 ? ticketOf(Number) : "none";
+    }
+    Policy = [this, Count](const PermitQuery &Query) {
+      PermitReply Reply{{}, 1s};
+      for (const WorkerLife &Each : Query.Workers) {
+        for (unsigned Number = 1; Number < Count; Number += 2) {
+          if (Workers[Number].Record.Life.Id == Each.Id) {
+            Reply.Allowed.push_back({Each.Id, Workers[Number].Ticket});
+          }
+        }
+      }
+      return std::optional(Reply);
+    };
+  }
+
+  static std::string ticketOf(unsigned Number) {
+    return "t" + std::to_string(Number);
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(TasksRunOnlyWhereThePolicyAllowsThem) {
+  PolicyWorld W(6);
+  W.submit("a", simpleJob(4, 2));
+  W.run(4s);
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(W.started("a") == 8); // no start was refused
+  BOOST_TEST(W.Queries.size() == 2);
+  BOOST_TEST(joined(W.faults()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(APermitThatRanOutIsAskedForAgain) {
+  // One worker has room for one task at a time, and each takes as long as a
+  // permit is good.
+  PolicyWorld W(2);
+  W.Workers[1].Record.Capacity = {1000, 1000, 0};
+  W.Workers[1].RunTime = 900ms;
+  W.submit("a", simpleJob(3));
+  W.run(5s);
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(W.started("a") == 3);
+  BOOST_TEST(W.Queries.size() == 3);
+}
+
+BOOST_AUTO_TEST_CASE(APermitThatTheWorkerRefusesIsAskedForAgain) {
+  PolicyWorld W(2);
+  W.Workers[1].Ticket = "new";
+  const auto Honest = W.Policy;
+  W.Policy = [&](const PermitQuery &Query) {
+    auto Reply = Honest(Query);
+    if (W.Queries.size() == 1) {
+      Reply->Allowed.front().Ticket = "old";
+    }
+    return Reply;
+  };
+  W.submit("a", simpleJob(1));
+  W.run(2s);
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(W.Queries.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AQueryWithoutAnswerIsRepeatedAfterAPause) {
+  PolicyWorld W(2);
+  const auto Honest = W.Policy;
+  W.Policy = [&](const PermitQuery &Query) {
+    return W.Queries.size() < 4 ? std::nullopt : Honest(Query);
+  };
+  W.submit("a", simpleJob(1));
+  W.run(400ms);
+  BOOST_TEST(W.Queries.size() <= 3);
+  W.run(2s);
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+}
--- a/Tests/Dispatch/World.cpp
+++ b/Tests/Dispatch/World.cpp
@@ -80,6 +80,9 @@
   if (Order.LeaseUntil <= clock(Now)) {
     return OrderOutcome::TooLate;
   }
+  if (Order.Ticket != Ticket) {
+    return OrderOutcome::NoPermit;
+  }
   const auto Running = Runs.find(Order.Task);
   if (Running != Runs.end()) {
     return Running->second.Number == Order.Run ? OrderOutcome::Done
@@ -226,9 +229,22 @@
   for (const WorkerOrder &Order : Decisions->takeOrders()) {
     send(Order);
   }
+  if (const auto Query = Decisions->takeQuery()) {
+    ask(*Query);
+  }
   record();
 }
 
+void World::ask(const PermitQuery &Query) {
+  Queries.push_back(Query);
+  later(Query.Expected + WireTime,
+        [this, Query, Mine = Term, AskedAt = Time.now()] {
+          if (Mine == Term) {
+            Decisions->queryAnswered(Query, AskedAt, Policy(Query));
+          }
+        });
+}
+
 void World::record() {
   if (RecordInFlight || JournalAway) {
     return;
--- a/Tests/Dispatch/World.h
+++ b/Tests/Dispatch/World.h
@@ -53,6 +53,8 @@
   /// Its runs make no progress.
   bool Hangs = false;
   Duration RunTime = std::chrono::milliseconds(400);
+  /// Starts need this ticket; empty for none.
+  std::string Ticket;
 
   HoldReport hold(const HoldOrder &Order, Instant Now, OrderOutcome &Outcome,
                   History &Into);
@@ -120,6 +122,9 @@
   std::function<bool(const WorkerOrder &)> LosesAnswer;
   std::function<std::optional<Duration>(const WorkerOrder &)> LateBy;
   std::mt19937_64 Random;
+  /// Answers the placement policy's queries; unset for no answer.
+  std::function<std::optional<PermitReply>(const PermitQuery &)> Policy;
+  std::vector<PermitQuery> Queries;
 
 private:
   struct Pending {
@@ -129,6 +134,7 @@
 
   void step();
   void record();
+  void ask(const PermitQuery &Query);
   void send(const WorkerOrder &Order);
   void carryOut(const WorkerOrder &Order, std::uint64_t Sender,
                 std::int64_t MeantFor, bool Answered);
--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -97,6 +97,26 @@
   BOOST_TEST(!decodeConfig("{\"routes\":[]}").ok());
 }
 
+BOOST_AUTO_TEST_CASE(AQueuesPolicyAndItsPermitsAreRead) {
+  const auto Config = decodeConfig(
+      R"({"version":1,"routes":[{"name":"a","host":"h","prefix":"/x/",)"
+      R"("service":"p","advice":{"decision_ms":40,"per_worker_ms":2.5,)"
+      R"("validity_ms":3000}},{"name":"b","host":"h","prefix":"/y/",)"
+      R"("service":"p"}],"services":[]})");
+  BOOST_REQUIRE(Config.ok());
+  BOOST_REQUIRE(Config->Queues[0].Policy.has_value());
+  BOOST_TEST((Config->Queues[0].Policy->TimePerWorker == Duration(2500)));
+  BOOST_TEST(!Config->Queues[1].Policy.has_value());
+  const auto Permits = decodePermits(
+      R"({"good":[["i-7f3a91c2","c81e-7a21d94b"]],"validity_ms":3000})");
+  BOOST_REQUIRE(Permits.ok());
+  BOOST_TEST((Permits->Allowed.front() ==
+              dispatch::Permit{"i-7f3a91c2", "c81e-7a21d94b"}));
+  BOOST_TEST(!decodePermits("{\"good\":[[1]]}").ok());
+  BOOST_TEST(stepName({jobs::JobId("5c0e7a21d94b36f8"), 0, 1}) ==
+             "5c0e7a21d94b36f8.0.1");
+}
+
 BOOST_AUTO_TEST_CASE(AHoldsAnswerIsRead) {
   const auto Report =
       decodeHold(R"({"clock_ms":9,"born":4,"running_tasks":[)"
