control: Renew the lead at a steady pace with a lease of 1 s

Renewals waited for each other's answers, so that a shorter lease would not have borne one lost answer of 500 ms.

Change: renewals go out every 250 ms whether or not earlier ones were answered; the lease is 1 s. An entry that finds its own key from before it was started again replaces it at once, on condition that it is unchanged; orders of the process before are fenced by the new token as ever.

Ruled out: releasing the lease by others; a holder that can't reach the store is replaced within the second.

Tests that fail before: a holder that is started again, silent renewals.

--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
-constexpr Duration RenewRetry = std::chrono::milliseconds(100);
 constexpr Duration AcquireRetry = std::chrono::milliseconds(150);
 constexpr Duration LoadRetry = std::chrono::milliseconds(100);
 /// Part of the lease's time that is not relied on: the way of an answer.
@@ -59,11 +58,21 @@
   }
   Known = *Record;
   KnownToken = Found->second.Revision;
+  if (Stage == Following && leftByEarlierProcess(Found->second)) {
+    acquire();
+    return;
+  }
   if ((Stage == Leading || Stage == Loading) && KnownToken > Token) {
     stepDown("another entry has taken over");
   }
 }
 
+bool Holder::leftByEarlierProcess(const StoredItem &Found) const {
+  // Nothing of the process is left that wrote it, so there is no use in
+  // waiting for its lease to run out.
+  return Found.Value == encodeEntry(Settings.Self) && Found.Revision != Token;
+}
+
 void Holder::leadFree() {
   if (Stage != Following || LeavingLead) {
     return;
@@ -122,13 +131,17 @@
       return;
     }
     LeaseEnds = Time.now() + Settings.LeaseTime - LeaseMargin;
-    claim(Reply.Lease);
+    const auto Own = Lead.items().find(Settings.Key);
+    claim(Reply.Lease,
+          Own != Lead.items().end() && leftByEarlierProcess(Own->second)
+              ? Own->second.Revision
+              : 0);
   });
 }
 
-void Holder::claim(std::uint64_t NewLease) {
+void Holder::claim(std::uint64_t NewLease, std::uint64_t OverRevision) {
   Transaction Take;
-  Take.Conditions = {{Settings.Key, 0}};
+  Take.Conditions = {{Settings.Key, OverRevision}};
   Take.Writes = {{Settings.Key, encodeEntry(Settings.Self), NewLease}};
   Store.commit(std::move(Take),
                [this, NewLease](const TransactionReply &Reply) {
@@ -241,6 +254,11 @@
                       renewed(SentAt, Reply);
                     }
                   });
+  Loop.after(Settings.RenewPeriod, [this, Term = TermNumber] {
+    if (Term == TermNumber) {
+      renew();
+    }
+  });
 }
 
 void Holder::renewed(Instant SentAt, const LeaseReply &Reply) {
@@ -248,17 +266,12 @@
     stepDown("the lease has run out");
     return;
   }
-  Duration Next = RenewRetry;
   if (Reply.Status.ok()) {
-    LeaseEnds = SentAt + Settings.LeaseTime - LeaseMargin;
-    StoreAnsweredAt = SentAt;
-    Next = Settings.RenewPeriod;
+    // Answers may overtake each other.
+    LeaseEnds =
+        std::max(LeaseEnds, SentAt + Settings.LeaseTime - LeaseMargin);
+    StoreAnsweredAt = std::max(StoreAnsweredAt, SentAt);
   }
-  Loop.after(Next, [this, Term = TermNumber] {
-    if (Term == TermNumber) {
-      renew();
-    }
-  });
 }
 
 void Holder::tick() {
--- a/Source/Control/include/balsamlatch/Control/Holder.h
+++ b/Source/Control/include/balsamlatch/Control/Holder.h
@@ -35,8 +35,9 @@
   std::string Prefix = "lead/";
   std::string Key = "lead/jobs";
   std::string EntryPrefix = "lead/entries/";
-  Duration LeaseTime = std::chrono::milliseconds(1500);
-  Duration RenewPeriod = std::chrono::milliseconds(400);
+  Duration LeaseTime = std::chrono::milliseconds(1000);
+  /// Renewals go out at this pace, whether or not earlier ones were answered.
+  Duration RenewPeriod = std::chrono::milliseconds(250);
   /// Shortest time between two journal records.
   Duration RecordGap = std::chrono::milliseconds(15);
   dispatch::DispatchOptions Dispatch;
@@ -86,8 +87,10 @@
 
   void leadChanged();
   void leadFree();
+  /// Whether this entry wrote the holder's key before it was started again.
+  bool leftByEarlierProcess(const StoredItem &Found) const;
   void acquire();
-  void claim(std::uint64_t Lease);
+  void claim(std::uint64_t Lease, std::uint64_t OverRevision);
   void load();
   void beginTerm();
   void stepDown(std::string_view Why);
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -278,6 +278,25 @@
   BOOST_TEST(runUntil([&] { return Weak->leading(); }));
 }
 
+BOOST_FIXTURE_TEST_CASE(AHolderThatIsStartedAgainLeadsAtOnce, HolderFixture) {
+  // Its lease from before has not run out, and never does here.
+  Store.put("lead/jobs", encodeEntry({"one", "127.0.0.1", 1, 0}));
+  auto Other = holder("two");
+  runFor(500ms);
+  BOOST_TEST(!Other->leading());
+  auto Again = holder("one");
+  BOOST_TEST(runUntil([&] { return Again->leading(); }));
+  BOOST_TEST((ask(*Again, job("a"))->Outcome == JobReply::Done));
+}
+
+BOOST_FIXTURE_TEST_CASE(ALeaseIsRenewedThoughAnswersAreLost, HolderFixture) {
+  auto First = holder("one");
+  BOOST_TEST(runUntil([&] { return First->leading(); }));
+  Store.SilentRenewals = 2; // without an answer, as on a channel gone silent
+  runFor(1300ms);
+  BOOST_TEST(First->certain());
+}
+
 BOOST_FIXTURE_TEST_CASE(AWeakHolderOffersTheLead, HolderFixture) {
   LeadView Strong{std::nullopt, 0, false};
   http::ServerOptions At;
--- a/Tests/Control/FakeStore.cpp
+++ b/Tests/Control/FakeStore.cpp
@@ -115,6 +115,10 @@
 
 void FakeStore::keepLease(std::uint64_t Lease,
                           std::function<void(LeaseReply)> Done) {
+  if (SilentRenewals > 0) {
+    --SilentRenewals;
+    return;
+  }
   LeaseReply Reply{Away ? unavailable() : absl::OkStatus(), Lease};
   if (!Away && !Leases.contains(Lease)) {
     Reply.Status = absl::NotFoundError("the lease has ended");
--- a/Tests/Control/FakeStore.h
+++ b/Tests/Control/FakeStore.h
@@ -37,6 +37,8 @@
   unsigned LoseAnswers = 0;
   /// So many writes to come are lost and carried out after the next ones.
   unsigned DelayWrites = 0;
+  /// So many renewals to come are never answered.
+  unsigned SilentRenewals = 0;
   bool Away = false;
   /// Items on one page of a listing.
   std::size_t PageItems = 3;
