dispatch, jobs: Place and end gangs as one; ask for hosts where work fits nowhere

MIXED: a gang's ends that came in several records were counted against the open tasks of later steps, so that the job was closed early. LOST: gangs, and work of policies that allow few workers, waited for ever in pools that had the room only in pieces; occurrences after the first had no hosts.

Change: a job is closed only by what its book has. The rest of a gang is stopped when a member ends, its failed run counts once and its newest checkpoint is common, as the workers demand. Gangs that want one rack get one if it has the room. Work that found no worker for 0.5 s asks for further hosts; occurrences that are due within the time of a move count as demand.

Tests that fail before: early close, one count for a failed run, the common checkpoint, the stopped rest, hosts for what fits nowhere, hosts for occurrences.

--- a/Source/Control/EntryRegistry.cpp
+++ b/Source/Control/EntryRegistry.cpp
@@ -56,9 +56,9 @@
        It != Listed.end() && It->first.starts_with(Prefix); ++It) {
     const absl::StatusOr<EntryRecord> Read = decodeEntry(It->second.Value);
     if (!Read.ok()) {
-      Log.write(LogLevel::Warning, "entry-unreadable",
-                {{"key", It->first},
-                 {"why", std::string(Read.status().message())}});
+      Log.write(
+          LogLevel::Warning, "entry-unreadable",
+          {{"key", It->first}, {"why", std::string(Read.status().message())}});
     } else if (Read->Entry != Self.Entry) {
       Others.push_back(*Read);
     } else {
@@ -86,7 +86,7 @@
 bool EntryRegistry::stronger(const EntryRecord &Other) const {
   constexpr std::uint64_t Whole = 100;
   return Other.CpuMilli * Whole >=
-         std::uint64_t{Self.CpuMilli} * StrongerPercent &&
+             std::uint64_t{Self.CpuMilli} * StrongerPercent &&
          Other.CpuMilli > Self.CpuMilli;
 }
 
--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -268,8 +268,7 @@
   }
   if (Reply.Status.ok()) {
     // Answers may overtake each other.
-    LeaseEnds =
-        std::max(LeaseEnds, SentAt + Settings.LeaseTime - LeaseMargin);
+    LeaseEnds = std::max(LeaseEnds, SentAt + Settings.LeaseTime - LeaseMargin);
     StoreAnsweredAt = std::max(StoreAnsweredAt, SentAt);
   }
 }
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -66,11 +66,13 @@
   Fenced = false;
   Workers.clear();
   Proposed.clear();
-  DoneProposed.clear();
   CloseProposed.clear();
   OpenJobs.clear();
   LastFailedOn.clear();
   EndingAt.clear();
+  UnplacedSince.clear();
+  UnplacedBefore.clear();
+  Lacking.clear();
   Permits.clear();
   Query.reset();
   QueryInFlight = false;
@@ -199,11 +201,6 @@
   for (auto &[Id, Worker] : Workers) {
     noteRecorded(Worker, Worker.EndsInBatch);
   }
-  // The book has the ends of all events now, so none counts as proposed when
-  // the first job is looked at.
-  for (const JobEvent &Event : Done) {
-    dropDoneProposed(Event);
-  }
   for (const JobEvent &Event : Done) {
     std::visit([this](const auto &Kind) { recordOf(Kind); }, Event);
   }
@@ -268,26 +265,13 @@
   }
 }
 
-void Dispatcher::dropDoneProposed(const JobEvent &Event) {
-  const auto *Ended = std::get_if<jobs::TaskEnded>(&Event);
-  if (Ended == nullptr || Ended->How != RunEnd::Done) {
-    return;
-  }
-  const auto Count = DoneProposed.find(Ended->Task.Job);
-  if (Count != DoneProposed.end() && --Count->second == 0) {
-    DoneProposed.erase(Count);
-  }
-}
-
 void Dispatcher::closeIfDone(const JobId &Id) {
   const jobs::Job *Owner = Book->find(Id);
   if (Owner == nullptr || !Owner->open() || CloseProposed.contains(Id)) {
     return;
   }
-  const auto Count = DoneProposed.find(Id);
-  const std::uint64_t Done = Count == DoneProposed.end() ? 0 : Count->second;
   jobs::JobState State = jobs::JobState::Running;
-  if (Owner->OpenTasks <= Done) {
+  if (Owner->OpenTasks == 0) {
     State = jobs::JobState::Completed;
   } else {
     const Queue *From = Config == nullptr
@@ -334,9 +318,25 @@
   release(Worker, Run);
   EndingAt[Task] = Worker.Record.Life.Id;
   Events.emplace_back(jobs::TaskEnded{Task, Run.Run, How, Checkpoint});
-  if (How == RunEnd::Done && !Run.Lasting) {
-    ++DoneProposed[Task.Job];
-    closeIfDone(Task.Job);
+  if (How != RunEnd::Done) {
+    stopGang(Task, Run.Run);
+  }
+}
+
+void Dispatcher::stopGang(const TaskRef &Ended, std::uint32_t Run) {
+  const jobs::Job *Owner = Book->find(Ended.Job);
+  const TaskRecord *Own = Owner == nullptr ? nullptr : Owner->find(Ended);
+  if (Own == nullptr || !Owner->spec().Steps[Ended.Step].Gang) {
+    return;
+  }
+  TaskRef Member = Ended;
+  for (Member.Index = 0; Member.Index < Owner->spec().Steps[Ended.Step].Count;
+       ++Member.Index) {
+    const TaskRecord &Record = *Owner->find(Member);
+    RunState *Other = findRun(Record.Worker.Id, Member, Run);
+    if (Other != nullptr && Member != Ended) {
+      Other->StopWanted = true;
+    }
   }
 }
 
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -5,6 +5,7 @@
 #include "balsamlatch/Dispatch/Ordering.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace balsamlatch::dispatch {
 
@@ -38,6 +39,9 @@
 /// and one for each lasting run.
 constexpr double PreferredRackGain = 100;
 constexpr double FailedTherePenalty = 1000;
+/// Work that waits longer than this waits for more hosts: pools follow the
+/// demand before that.
+constexpr Duration UnplacedPatience = std::chrono::milliseconds(500);
 /// Most workers of one query: what a step of usual width can need.
 constexpr std::size_t WorkersPerQuery = 30;
 /// A permit must hold until the start has arrived: the journal's record and
@@ -157,10 +161,13 @@
     }
   }
   const std::vector<Candidate> Waiting = candidates();
+  UnplacedBefore = std::exchange(UnplacedSince, {});
+  Lacking.clear();
   for (const Candidate &Which : Waiting) {
-    const auto Among = Usable.find(Which.Pool);
-    if (Among != Usable.end()) {
-      placeStep(Which, Among->second);
+    const std::vector<WorkerState *> &Among = Usable[Which.Pool];
+    const std::size_t Left = placeStep(Which, Among);
+    if (Left > 0 && !Among.empty()) {
+      noteUnplaced(Which, Left, Among.size(), Among.front()->Record.Capacity);
     }
   }
   if (!QueryInFlight && !Query && Now >= NextQueryAt) {
@@ -209,31 +216,96 @@
   }
 }
 
-void Dispatcher::placeStep(const Candidate &Which,
-                           const std::vector<WorkerState *> &Among) {
+void Dispatcher::noteUnplaced(const Candidate &Which, std::size_t Tasks,
+                              std::size_t UsableWorkers,
+                              const Resources &OfEach) {
+  const StepRef Step = stepOf(Which.task(0));
+  const Instant Now = Time.now();
+  const auto Before = UnplacedBefore.find(Step);
+  const Instant Since = Before == UnplacedBefore.end() ? Now : Before->second;
+  UnplacedSince[Step] = Since;
+  if (Now - Since < UnplacedPatience) {
+    return;
+  }
+  const Resources Claim = claimOf(Which.spec());
+  const auto InOne = [](std::int64_t Need, std::int64_t Room) {
+    return Need <= 0 ? std::numeric_limits<std::int64_t>::max()
+                     : std::max<std::int64_t>(1, Room / Need);
+  };
+  const auto PerHost = static_cast<std::size_t>(
+      std::min(InOne(Claim.CpuMilli, OfEach.CpuMilli),
+               InOne(Claim.MemoryMb, OfEach.MemoryMb)));
+  unsigned &Hosts = Lacking[Which.Pool];
+  Hosts = std::max(Hosts, static_cast<unsigned>(UsableWorkers)) +
+          static_cast<unsigned>((Tasks - 1) / PerHost + 1);
+}
+
+std::size_t Dispatcher::placeStep(const Candidate &Which,
+                                  const std::vector<WorkerState *> &Among) {
   const std::vector<unsigned> Waiting = waitingTasks(Which);
   if (Which.spec().Gang) {
-    placeGang(Which, Waiting, Among);
-    return;
+    return placeGang(Which, Waiting, Among);
   }
+  std::size_t Placed = 0;
   for (const unsigned Index : Waiting) {
     WorkerState *Worker = choose(Which, Index, Among);
     if (Worker == nullptr) {
-      return; // tasks of one step need the same
+      break; // tasks of one step need the same
     }
     const TaskRecord *Task = Which.record(Index);
     propose(Which, Index, *Worker, Task == nullptr ? 1 : Task->Run + 1);
+    ++Placed;
   }
+  return Waiting.size() - Placed;
 }
 
-void Dispatcher::placeGang(const Candidate &Which,
-                           const std::vector<unsigned> &Indexes,
-                           const std::vector<WorkerState *> &Among) {
+std::size_t Dispatcher::placeGang(const Candidate &Which,
+                                  const std::vector<unsigned> &Indexes,
+                                  const std::vector<WorkerState *> &Among) {
   if (Indexes.size() != Which.spec().Count) {
-    return; // members of an earlier run are still about
+    return 0; // members of an earlier run are still about
+  }
+  std::vector<WorkerState *> Chosen;
+  if (Which.spec().SameRack) {
+    // Racks are labels; the smallest group that can take all members is one.
+    std::map<std::string, std::vector<WorkerState *>> ByLabel;
+    for (WorkerState *Worker : Among) {
+      for (const std::string &Label : Worker->Record.Labels) {
+        ByLabel[Label].push_back(Worker);
+      }
+    }
+    std::size_t Smallest = Among.size();
+    for (const auto &[Label, Group] : ByLabel) {
+      if (Group.size() < Smallest) {
+        if (auto Fits = chooseGang(Which, Indexes, Group); !Fits.empty()) {
+          Chosen = std::move(Fits);
+          Smallest = Group.size();
+        }
+      }
+    }
+  }
+  if (Chosen.empty()) {
+    Chosen = chooseGang(Which, Indexes, Among);
+  }
+  if (Chosen.empty()) {
+    return Indexes.size();
   }
   std::uint32_t Run = 1;
-  std::vector<std::pair<WorkerState *, TaskRef>> Chosen;
+  for (const unsigned Index : Indexes) {
+    const TaskRecord *Task = Which.record(Index);
+    Run = std::max(Run, Task == nullptr ? 1 : Task->Run + 1);
+  }
+  for (std::size_t Member = 0; Member < Chosen.size(); ++Member) {
+    propose(Which, Indexes[Member], *Chosen[Member], Run);
+  }
+  return 0;
+}
+
+std::vector<WorkerState *>
+Dispatcher::chooseGang(const Candidate &Which,
+                       const std::vector<unsigned> &Indexes,
+                       const std::vector<WorkerState *> &Among) {
+  std::vector<WorkerState *> Chosen;
   for (const unsigned Index : Indexes) {
     WorkerState *Worker = choose(Which, Index, Among);
     if (Worker == nullptr) {
@@ -243,19 +315,15 @@
     Held.Claim = claimOf(Which.spec());
     Worker->Claimed += Held.Claim;
     Worker->Runs[Which.task(Index)] = Held;
-    Chosen.emplace_back(Worker, Which.task(Index));
-    const TaskRecord *Task = Which.record(Index);
-    Run = std::max(Run, Task == nullptr ? 1 : Task->Run + 1);
-  }
-  for (const auto &[Worker, Task] : Chosen) {
-    Worker->Claimed -= Worker->Runs[Task].Claim;
-    Worker->Runs.erase(Task);
+    Chosen.push_back(Worker);
   }
-  if (Chosen.size() == Indexes.size()) {
-    for (std::size_t Member = 0; Member < Chosen.size(); ++Member) {
-      propose(Which, Indexes[Member], *Chosen[Member].first, Run);
-    }
+  for (std::size_t Member = 0; Member < Chosen.size(); ++Member) {
+    const TaskRef Task = Which.task(Indexes[Member]);
+    Chosen[Member]->Claimed -= Chosen[Member]->Runs[Task].Claim;
+    Chosen[Member]->Runs.erase(Task);
   }
+  return Chosen.size() == Indexes.size() ? Chosen
+                                         : std::vector<WorkerState *>();
 }
 
 WorkerState *Dispatcher::choose(const Candidate &Which, unsigned Index,
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -102,10 +102,8 @@
     return;
   }
   // Given up as lost, but it was done and its task has not run again.
-  ++DoneProposed[Ended.Task.Job];
   Events.emplace_back(
       jobs::TaskEnded{Ended.Task, Ended.Run, Ended.How, Ended.Checkpoint});
-  closeIfDone(Ended.Task.Job);
 }
 
 void Dispatcher::noteHealth(WorkerState &Worker, const TaskRef &Task,
--- a/Source/Dispatch/HostMoves.cpp
+++ b/Source/Dispatch/HostMoves.cpp
@@ -16,6 +16,9 @@
 constexpr Duration ArrivalWindow = std::chrono::milliseconds(500);
 constexpr std::int64_t FollowersExpected = 3;
 
+/// Occurrences that are due by then need their hosts now: what a move takes.
+constexpr Duration DueSoon = std::chrono::milliseconds(1700);
+
 /// Adds the tasks of a step that run or could run now.
 void addDemand(const jobs::Job &Owner, unsigned Occurrence, unsigned Step,
                std::int64_t Weight, PoolDemand &Into) {
@@ -56,8 +59,12 @@
         Demand[From == nullptr ? Owner.Record.Accepted.Pool : From->Pool];
     const bool New = Now - Owner.Record.Accepted.At < ArrivalWindow;
     const std::int64_t Weight = New ? 1 + FollowersExpected : 1;
-    for (unsigned Step = 0; Step < Owner.spec().Steps.size(); ++Step) {
-      addDemand(Owner, 0, Step, Weight, Into);
+    for (unsigned Occurrence = 0; Occurrence < Owner.spec().occurrences() &&
+                                  Owner.dueAt(Occurrence) <= Now + DueSoon;
+         ++Occurrence) {
+      for (unsigned Step = 0; Step < Owner.spec().Steps.size(); ++Step) {
+        addDemand(Owner, Occurrence, Step, Weight, Into);
+      }
     }
   }
   return Demand;
@@ -108,9 +115,13 @@
   std::erase_if(Moving, [&](const auto &Each) {
     return Now - Each.second.Since > Settings.MoveTime + ReturnMargin;
   });
+  std::map<PoolName, PoolDemand> Demand =
+      demandOf(Jobs, Config, Time.wallNow());
+  for (const auto &[Pool, Lacking] : Workers.hostsLacking()) {
+    Demand[Pool].HostsLacking = Lacking;
+  }
   const PoolPlan Plan =
-      Pools.plan(Now, Config.Pools, demandOf(Jobs, Config, Time.wallNow()),
-                 poolHosts(Workers));
+      Pools.plan(Now, Config.Pools, Demand, poolHosts(Workers));
   for (const PoolPlan::Step &Step : Plan.Moves) {
     const HostRecord *Host = find(Step.Host);
     Moving[Step.Host] = {Step.To, Now};
--- a/Source/Dispatch/Permits.cpp
+++ b/Source/Dispatch/Permits.cpp
@@ -13,10 +13,9 @@
     return nullptr;
   }
   const auto Found = Known->second.find(Worker.Id);
-  const bool Good = Found != Known->second.end() &&
-                    !Found->second.Ticket.empty() &&
-                    Found->second.Born == Worker.Born &&
-                    Until < Found->second.ValidUntil;
+  const bool Good =
+      Found != Known->second.end() && !Found->second.Ticket.empty() &&
+      Found->second.Born == Worker.Born && Until < Found->second.ValidUntil;
   return Good ? &Found->second.Ticket : nullptr;
 }
 
@@ -27,9 +26,8 @@
     return true;
   }
   const auto Found = Known->second.find(Worker.Id);
-  return Found == Known->second.end() ||
-         (!Found->second.Ticket.empty() &&
-          find(Step, Worker, Until) == nullptr);
+  return Found == Known->second.end() || (!Found->second.Ticket.empty() &&
+                                          find(Step, Worker, Until) == nullptr);
 }
 
 void PermitBook::answered(const PermitQuery &Query, const PermitReply &Reply,
--- a/Source/Dispatch/PoolPlanner.cpp
+++ b/Source/Dispatch/PoolPlanner.cpp
@@ -106,7 +106,8 @@
   const unsigned AtOnce =
       std::max(hostsFor(Padded(Demand.Ending.CpuMilli), HostCapacity.CpuMilli),
                hostsFor(Padded(Demand.Ending.MemoryMb), HostCapacity.MemoryMb));
-  const unsigned Least = std::max(Demand.LastingHosts, Settings.LeastHosts);
+  const unsigned Least =
+      std::max({Demand.LastingHosts, Demand.HostsLacking, Settings.LeastHosts});
   std::map<Instant, unsigned> &Past = Known[Pool].Wanted;
   Past.erase(Past.begin(), Past.lower_bound(Now));
   Past[Now + Settings.Memory] = std::max(AtOnce, Least);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -86,6 +86,9 @@
   bool fenced() const { return Fenced; }
 
   const WorkerTable &workers() const { return Workers; }
+  /// Pools whose usable workers can't take work that has waited for a while,
+  /// and how many hosts it would take to run it.
+  const std::map<PoolName, unsigned> &hostsLacking() const { return Lacking; }
   Instant now() const { return Time.now(); }
   void setCordoned(const std::string &WorkerId, bool Cordoned);
   /// An order that ends all that runs on the worker is about to be sent, or
@@ -116,7 +119,8 @@
   static void release(WorkerState &Worker, RunState &Run);
   static Resources claimOf(const jobs::StepSpec &Step);
   void noteHealth(WorkerState &Worker, const TaskRef &Task, jobs::RunEnd How);
-  void dropDoneProposed(const jobs::JobEvent &Event);
+  /// The other members of a gang can't go on without the one that ended.
+  void stopGang(const TaskRef &Ended, std::uint32_t Run);
   void closeIfDone(const JobId &Id);
   void loseAll(WorkerState &Worker, std::string_view Why);
   void takeLife(WorkerState &Worker, std::int64_t Born);
@@ -146,10 +150,17 @@
   void collect(const jobs::Job &Owner, const Queue &From,
                std::vector<Candidate> &Into) const;
   std::vector<unsigned> waitingTasks(const Candidate &Which) const;
-  void placeStep(const Candidate &Which,
-                 const std::vector<WorkerState *> &Among);
-  void placeGang(const Candidate &Which, const std::vector<unsigned> &Indexes,
-                 const std::vector<WorkerState *> &Among);
+  /// Return how many tasks found no worker.
+  std::size_t placeStep(const Candidate &Which,
+                        const std::vector<WorkerState *> &Among);
+  std::size_t placeGang(const Candidate &Which,
+                        const std::vector<unsigned> &Indexes,
+                        const std::vector<WorkerState *> &Among);
+  std::vector<WorkerState *>
+  chooseGang(const Candidate &Which, const std::vector<unsigned> &Indexes,
+             const std::vector<WorkerState *> &Among);
+  void noteUnplaced(const Candidate &Which, std::size_t Tasks,
+                    std::size_t UsableWorkers, const Resources &OfEach);
   WorkerState *choose(const Candidate &Which, unsigned Index,
                       const std::vector<WorkerState *> &Among) const;
   void propose(const Candidate &Which, unsigned Index, WorkerState &Worker,
@@ -172,8 +183,6 @@
   WorkerTable Workers;
   // Tasks with a placement that the journal doesn't hold yet.
   std::set<TaskRef> Proposed;
-  // Tasks proposed as done, by job.
-  std::map<JobId, std::uint64_t> DoneProposed;
   std::set<JobId> CloseProposed;
   // Mean processor milliseconds of the jobs of a queue, recent ones more.
   std::map<QueueName, double> MeanWork;
@@ -183,6 +192,10 @@
   std::map<TaskRef, std::string> LastFailedOn;
   // Workers of the runs that are Ending.
   std::unordered_map<TaskRef, std::string> EndingAt;
+  // Since when steps have tasks that no usable worker can take.
+  std::map<StepRef, Instant> UnplacedSince;
+  std::map<StepRef, Instant> UnplacedBefore;
+  std::map<PoolName, unsigned> Lacking;
   PermitBook Permits;
   std::optional<PermitQuery> Query;
   bool QueryInFlight = false;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
@@ -20,6 +20,8 @@
   Resources Ending;
   /// Hosts that run lasting tasks, or will have to.
   unsigned LastingHosts = 0;
+  /// Hosts that it takes to place what no usable worker can take.
+  unsigned HostsLacking = 0;
 
   auto operator<=>(const PoolDemand &) const = default;
 };
--- a/Source/Jobs/JobBook.cpp
+++ b/Source/Jobs/JobBook.cpp
@@ -43,6 +43,32 @@
   }
 }
 
+/// Keeps the newest checkpoint; one of a gang's member is good for all.
+void saveCheckpoint(const StepSpec &Spec, StepRecord &Step, TaskRecord &Task,
+                    const std::string &Checkpoint) {
+  if (Checkpoint.empty()) {
+    return;
+  }
+  Task.Checkpoint = Checkpoint;
+  if (Spec.Gang) {
+    for (TaskRecord &Member : Step) {
+      Member.Checkpoint = Checkpoint;
+    }
+  }
+}
+
+/// Counts a failed run, that of a gang once for all members.
+void countFailure(const StepSpec &Spec, const StepRecord &Step,
+                  TaskRecord &Task) {
+  const bool Counted =
+      Spec.Gang &&
+      std::any_of(Step.begin(), Step.end(), [&](const TaskRecord &Member) {
+        return Member.FailedRun == Task.Run;
+      });
+  Task.FailedRun = Task.Run;
+  Task.Failures += Counted ? 0 : 1;
+}
+
 /// Failed runs of a task, or of a gang together. A lasting task may fail any
 /// number of times.
 std::uint32_t failuresOf(const StepSpec &Spec, const StepRecord &Tasks) {
@@ -224,20 +250,19 @@
     return;
   }
   Owner->PlacedTasks -= Task->Phase == TaskPhase::Placed ? 1 : 0;
-  if (!Event.Checkpoint.empty()) {
-    Task->Checkpoint = Event.Checkpoint;
-  }
-  Task->Worker = WorkerLife();
   const StepSpec &Step = Owner->spec().Steps[Event.Task.Step];
+  StepRecord &Members =
+      Owner->Record.Occurrences[Event.Task.Occurrence][Event.Task.Step];
+  saveCheckpoint(Step, Members, *Task, Event.Checkpoint);
+  Task->Worker = WorkerLife();
   const bool Done = Event.How == RunEnd::Done && !Step.Lasting;
   Task->Phase = Done ? TaskPhase::Done : TaskPhase::Waiting;
   Owner->OpenTasks -= Done ? 1 : 0;
   if (Event.How == RunEnd::Failed && !Step.Lasting) {
-    ++Task->Failures;
+    countFailure(Step, Members, *Task);
   }
   if (Step.Gang && Done) {
-    endGang(Owner->Record.Occurrences[Event.Task.Occurrence][Event.Task.Step],
-            *Owner);
+    endGang(Members, *Owner);
   }
 }
 
@@ -246,7 +271,10 @@
   TaskRecord *Task = Owner == nullptr ? nullptr : findTask(*Owner, Event.Task);
   if (Task != nullptr && Task->Phase == TaskPhase::Placed &&
       Event.Run == Task->Run) {
-    Task->Checkpoint = Event.Checkpoint;
+    saveCheckpoint(
+        Owner->spec().Steps[Event.Task.Step],
+        Owner->Record.Occurrences[Event.Task.Occurrence][Event.Task.Step],
+        *Task, Event.Checkpoint);
   }
 }
 
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -156,6 +156,7 @@
   return {static_cast<int>(Task.Phase),
           Task.Run,
           Task.Failures,
+          Task.FailedRun,
           json::string(Task.Worker.Id),
           Task.Worker.Born,
           json::string(Task.Checkpoint)};
@@ -167,6 +168,7 @@
   Task.Phase = static_cast<TaskPhase>(In.number<int>());
   Task.Run = In.number<std::uint32_t>();
   Task.Failures = In.number<std::uint32_t>();
+  Task.FailedRun = In.number<std::uint32_t>();
   Task.Worker.Id = In.text();
   Task.Worker.Born = In.number<std::int64_t>();
   Task.Checkpoint = In.text();
--- a/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
@@ -130,6 +130,8 @@
   /// Highest run number used; 0 before the first.
   std::uint32_t Run = 0;
   std::uint32_t Failures = 0;
+  /// The last run that failed; 0 for none.
+  std::uint32_t FailedRun = 0;
   WorkerLife Worker;
   std::string Checkpoint;
 
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -115,9 +115,8 @@
     HolderOptions Options;
     Options.Self = {Name, "127.0.0.1", 1, CpuMilli};
     Options.RecordGap = RecordGap;
-    auto New =
-        std::make_unique<Holder>(Loop, Time, Log, Store, Workers, Policies,
-                                 Options);
+    auto New = std::make_unique<Holder>(Loop, Time, Log, Store, Workers,
+                                        Policies, Options);
     New->configure(Config);
     New->start();
     return New;
@@ -412,7 +411,7 @@
   const TaskRef Task{JobId("j"), 1, 2, 3};
   JobSnapshot Snapshot;
   Snapshot.Accepted = std::get<JobAccepted>(accepted("j"));
-  Snapshot.Occurrences[1] = {{{TaskPhase::Placed, 4, 1, {"w", 5}, "c"}}};
+  Snapshot.Occurrences[1] = {{{TaskPhase::Placed, 4, 1, 3, {"w", 5}, "c"}}};
   const std::vector<JobEvent> Events = {
       accepted("j"),
       TaskPlaced{Task, 4, {"w", 5}},
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -329,3 +329,97 @@
   W.run(2s);
   BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
 }
+
+namespace {
+
+jobs::JobSpec gangJob(unsigned Tasks, unsigned Steps) {
+  jobs::JobSpec Spec = simpleJob(Tasks, Steps);
+  Spec.Steps.front().Gang = true;
+  return Spec;
+}
+
+/// A book with one gang of three placed members.
+jobs::JobBook bookWithGang() {
+  jobs::JobBook Book;
+  Book.apply(jobs::JobAccepted{JobId("g"), {}, {}, gangJob(3, 1), {}}, 1);
+  for (unsigned Index = 0; Index < 3; ++Index) {
+    Book.apply(jobs::TaskPlaced{{JobId("g"), 0, 0, Index}, 1, {"w", 1}}, 1);
+  }
+  return Book;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AGangsEndsInSeveralRecordsDontCloseItsJobEarly) {
+  World W(2);
+  W.Workers[1].RunTime = 405ms;
+  W.submit("a", gangJob(8, 2));
+  W.run(600ms);
+  BOOST_TEST(W.job("a").open());
+  W.run(2s);
+  BOOST_TEST((W.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(W.started("a") == 16);
+  BOOST_TEST(joined(W.faults()) == "");
+}
+
+BOOST_AUTO_TEST_CASE(AGangIsPlacedWholeOrNotAtAll) {
+  World W(2);
+  W.submit("a", gangJob(9, 1));
+  W.run(1s);
+  BOOST_TEST(W.started("a") == 0);
+  W.Workers[1].Record.Capacity = {5000, 5000, 0};
+  W.run(1s);
+  BOOST_TEST(W.started("a") == 9);
+}
+
+BOOST_AUTO_TEST_CASE(TheRestOfAGangIsStoppedWhenAMemberEnds) {
+  World W(2);
+  W.Workers[0].RunTime = W.Workers[1].RunTime = 30s;
+  W.submit("a", gangJob(8, 1));
+  W.run(500ms);
+  BOOST_TEST(W.started("a") == 8);
+  W.Workers[1].crash(W.Time.now(), W.Past);
+  W.run(8s);
+  for (const RunTrace &Each : W.Past.Runs) {
+    BOOST_TEST((Each.Run > 1 || Each.Ended != Instant::max()));
+  }
+  BOOST_TEST(W.started("a") == 16); // all members again, together
+}
+
+BOOST_AUTO_TEST_CASE(AGangsFailedRunCountsOnce) {
+  jobs::JobBook Book = bookWithGang();
+  for (unsigned Index = 0; Index < 3; ++Index) {
+    Book.apply(
+        jobs::TaskEnded{{JobId("g"), 0, 0, Index}, 1, jobs::RunEnd::Failed, ""},
+        2);
+  }
+  BOOST_TEST(Book.find(JobId("g"))->worstFailures() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AGangSharesItsNewestCheckpoint) {
+  jobs::JobBook Book = bookWithGang();
+  Book.apply(jobs::CheckpointSaved{{JobId("g"), 0, 0, 2}, 1, "c"}, 2);
+  for (unsigned Index = 0; Index < 3; ++Index) {
+    BOOST_TEST(
+        Book.find(JobId("g"))->find({JobId("g"), 0, 0, Index})->Checkpoint ==
+        "c");
+  }
+}
+
+BOOST_AUTO_TEST_CASE(WorkThatFitsNowhereAsksForHosts) {
+  // Half of each worker's room is free, and no half is enough.
+  World W(2);
+  for (FakeWorker &Each : W.Workers) {
+    Each.RunTime = 60s;
+  }
+  jobs::JobSpec Large = simpleJob(2);
+  Large.Steps.front().Need.CpuMilli = 2500;
+  W.submit("a", Large);
+  W.run(200ms);
+  W.submit("b", Large);
+  W.run(300ms);
+  BOOST_TEST(W.Decisions->hostsLacking().empty());
+  W.run(1500ms);
+  BOOST_REQUIRE(W.Decisions->hostsLacking().size() == 1);
+  BOOST_TEST(W.Decisions->hostsLacking().begin()->second == 4);
+}
--- a/Tests/Dispatch/HostKeeperTest.cpp
+++ b/Tests/Dispatch/HostKeeperTest.cpp
@@ -312,6 +312,24 @@
   BOOST_TEST(F.decide().size() == 3);
 }
 
+BOOST_AUTO_TEST_CASE(HostsAreMovedForOccurrencesThatAreAboutToBeDue) {
+  Fleet F(6);
+  F.W.Config->Pools.push_back({Spare, true});
+  for (std::size_t Number = 2; Number < F.Hosts.size(); ++Number) {
+    F.Hosts[Number].Pool = Spare;
+    F.Hosts[Number].WorkerId.clear();
+  }
+  F.W.run(4s);
+  F.list();
+  jobs::JobSpec Spec = simpleJob(16);
+  Spec.Times = {2, F.W.Time.wallNow() + 5s, 5s};
+  F.W.submit("a", Spec);
+  F.W.run(2s);
+  BOOST_TEST(F.decide().empty());
+  F.W.run(2s);
+  BOOST_TEST(F.decide().size() == 3); // five wanted, two there
+}
+
 BOOST_AUTO_TEST_CASE(UnneededHostsGoToStandbyAfterAWhile) {
   PoolPlanner Planner{PoolPlannerOptions()};
   const PoolName Idle("idle");
