control: Ask placement policies through all entries

Cause: the policy service answers each host's calls one after the other and takes 0.3 s for a decision, so that a holder that asked alone placed three steps a second.

Change: the holder spreads its questions over the registered entries, one at a time each; several steps' questions are out together. Workers without room now are asked about with the others.

Tests: questions side by side, an entry that doesn't answer rests, queries round trip.

--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -41,6 +41,9 @@
 
 void Holder::leadChanged() {
   Entries.update(Lead.items());
+  if (OnEntries) {
+    OnEntries();
+  }
   const auto Found = Lead.items().find(Settings.Key);
   if (Found == Lead.items().end()) {
     Known.reset();
@@ -301,8 +304,9 @@
   for (const dispatch::WorkerOrder &Order : Decisions.takeOrders()) {
     send(Order);
   }
-  if (const auto Query = Decisions.takeQuery()) {
-    askPolicy(*Query);
+  Decisions.limitQueries(Policies.slots());
+  for (const dispatch::PermitQuery &Query : Decisions.takeQueries()) {
+    askPolicy(Query);
   }
   if (Decisions.fenced()) {
     stepDown("a worker has seen a later holder");
--- a/Source/Control/include/balsamlatch/Control/Holder.h
+++ b/Source/Control/include/balsamlatch/Control/Holder.h
@@ -79,6 +79,8 @@
   dispatch::Dispatcher &dispatcher() { return Decisions; }
   const jobs::JobBook &book() const { return *Book; }
 
+  /// Runs when other entries may have registered.
+  std::function<void()> OnEntries;
   /// Runs whenever a term begins or ends.
   std::function<void(bool Leading)> OnTerm;
 
--- a/Source/Control/include/balsamlatch/Control/Ports.h
+++ b/Source/Control/include/balsamlatch/Control/Ports.h
@@ -34,6 +34,8 @@
   using Done = std::function<void(absl::StatusOr<dispatch::PermitReply>)>;
 
   virtual ~PolicyPort() = default;
+  /// How many questions are answered side by side.
+  virtual std::size_t slots() const { return 1; }
   virtual void ask(const dispatch::PermitQuery &Query, Done Answered) = 0;
 };
 
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -74,8 +74,8 @@
   UnplacedBefore.clear();
   Lacking.clear();
   Permits.clear();
-  Query.reset();
-  QueryInFlight = false;
+  Queries.clear();
+  QueriesOut.clear();
   NextQueryAt = {};
   BatchOpen = false;
   Events.clear();
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -162,9 +162,8 @@
   return std::exchange(Orders, {});
 }
 
-std::optional<PermitQuery> Dispatcher::takeQuery() {
-  QueryInFlight = QueryInFlight || Query;
-  return std::exchange(Query, std::nullopt);
+std::vector<PermitQuery> Dispatcher::takeQueries() {
+  return std::exchange(Queries, {});
 }
 
 void Dispatcher::setLeaving(const std::string &WorkerId, bool Leaving) {
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -170,7 +170,7 @@
       noteUnplaced(Which, Left, Among.size(), Among.front()->Record.Capacity);
     }
   }
-  if (!QueryInFlight && !Query && Now >= NextQueryAt) {
+  if (Now >= NextQueryAt) {
     queryPermits(Waiting, Usable, Now);
   }
 }
@@ -192,27 +192,35 @@
                               const PoolWorkers &Usable, Instant Now) {
   for (const Candidate &Which : Waiting) {
     const auto Among = Usable.find(Which.Pool);
-    if (!Which.Policy || Among == Usable.end() || waitingTasks(Which).empty()) {
+    const StepRef Step = stepOf(Which.task(0));
+    if (QueriesOut.size() >= QueryLimit) {
+      return;
+    }
+    if (!Which.Policy || Among == Usable.end() || QueriesOut.contains(Step) ||
+        waitingTasks(Which).empty()) {
       continue;
     }
+    // A decision takes the same time for few workers: those that are full now
+    // are asked about with the others, as they may soon have room.
     PermitQuery Ask;
-    Ask.Step = stepOf(Which.task(0));
+    Ask.Step = Step;
+    std::vector<WorkerLife> Full;
     for (const WorkerState *Worker : Among->second) {
-      if (Ask.Workers.size() < WorkersPerQuery &&
-          claimOf(Which.spec()).fitsInto(Worker->room()) &&
-          Permits.worthAsking(Ask.Step, Worker->Record.Life,
-                              Now + PermitMargin)) {
-        Ask.Workers.push_back(Worker->Record.Life);
+      if (Permits.worthAsking(Step, Worker->Record.Life, Now + PermitMargin)) {
+        const bool Room = claimOf(Which.spec()).fitsInto(Worker->room());
+        (Room ? Ask.Workers : Full).push_back(Worker->Record.Life);
       }
     }
     if (Ask.Workers.empty()) {
       continue;
     }
+    Ask.Workers.insert(Ask.Workers.end(), Full.begin(), Full.end());
+    Ask.Workers.resize(std::min(Ask.Workers.size(), WorkersPerQuery));
     Ask.Expected =
         Which.Policy->DecisionTime +
         Which.Policy->TimePerWorker * static_cast<int>(Ask.Workers.size());
-    Query = std::move(Ask);
-    return;
+    QueriesOut.insert(Step);
+    Queries.push_back(std::move(Ask));
   }
 }
 
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -266,7 +266,7 @@
   if (Book == nullptr) {
     return;
   }
-  QueryInFlight = false;
+  QueriesOut.erase(Asked.Step);
   PlanNeeded = true;
   const jobs::Job *Owner = Book->find(Asked.Step.Job);
   if (!Reply) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -76,8 +76,10 @@
   /// when those taken before are recorded.
   std::vector<jobs::JobEvent> takeEvents();
   std::vector<WorkerOrder> takeOrders();
-  /// What to ask the placement policies. One query is out at a time.
-  std::optional<PermitQuery> takeQuery();
+  /// What to ask the placement policies; at most \p Limit queries are out at
+  /// a time, one of a step.
+  std::vector<PermitQuery> takeQueries();
+  void limitQueries(std::size_t Limit) { QueryLimit = Limit; }
   /// Unset: there is no answer.
   void queryAnswered(const PermitQuery &Query, Instant AskedAt,
                      const std::optional<PermitReply> &Reply);
@@ -197,8 +199,9 @@
   std::map<StepRef, Instant> UnplacedBefore;
   std::map<PoolName, unsigned> Lacking;
   PermitBook Permits;
-  std::optional<PermitQuery> Query;
-  bool QueryInFlight = false;
+  std::vector<PermitQuery> Queries;
+  std::set<StepRef> QueriesOut;
+  std::size_t QueryLimit = 1;
   Instant NextQueryAt{};
   // Events were taken and are not recorded yet.
   bool BatchOpen = false;
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -8,6 +8,7 @@
 #include "balsamlatch/Control/Holder.h"
 #include "balsamlatch/Control/JobRouter.h"
 #include "balsamlatch/Control/JobWire.h"
+#include "balsamlatch/Control/PolicyRelay.h"
 #include "balsamlatch/Http/Server.h"
 #include "balsamlatch/Jobs/JournalCodec.h"
 
@@ -387,6 +388,52 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(QuestionsToThePolicyAreSpreadOverEntries, Fixture) {
+  /// Answers each question after a while.
+  class Slow final : public PolicyPort {
+  public:
+    Slow(EventLoop &Runner, std::string Name)
+        : Loop(Runner), Ticket(std::move(Name)) {}
+    void ask(const dispatch::PermitQuery &, Done Answered) override {
+      Loop.after(50ms, [this, Answered] {
+        Answered(dispatch::PermitReply{{{"w", Ticket}}, 3s});
+      });
+    }
+
+  private:
+    EventLoop &Loop;
+    std::string Ticket;
+  };
+  Slow Here(Loop, "here");
+  Slow There(Loop, "there");
+  http::Client Peers(Loop.context(), {});
+  PolicyRelay Own(Time, Here, Peers);
+  PolicyRelay Helper(Time, There, Peers);
+  http::ServerOptions At;
+  At.Ip = "127.0.0.1";
+  http::Server Server(Loop.context(), At,
+                      [&](const http::Exchange &Call) { Helper.serve(Call); });
+  BOOST_REQUIRE(Server.start().ok());
+  BOOST_TEST(Own.slots() == 1);
+  // Nobody listens at the port of the third.
+  Own.setOthers(
+      {{"two", "127.0.0.1", Server.port(), 0}, {"three", "127.0.0.1", 1, 0}});
+  BOOST_TEST(Own.slots() == 3);
+  const dispatch::PermitQuery Query{
+      {jobs::JobId("j"), 0, 1}, {{"w", 7}, {"v", 8}}, 100ms};
+  std::multiset<std::string> Came;
+  for (int Number = 0; Number < 3; ++Number) {
+    Own.ask(Query, [&](const absl::StatusOr<dispatch::PermitReply> &Reply) {
+      Came.insert(Reply.ok() ? Reply->Allowed.front().Ticket : "none");
+    });
+  }
+  BOOST_TEST(runUntil([&] { return Came.size() == 3; }));
+  BOOST_TEST((Came == std::multiset<std::string>{"here", "there", "none"}));
+  BOOST_TEST(Own.slots() == 2); // the one that failed rests
+  BOOST_TEST((*decodeQuery(encodeQuery(Query)) == Query));
+  BOOST_TEST(!decodeQuery("{}").ok());
+}
+
 BOOST_AUTO_TEST_CASE(RequestsBetweenEntriesRoundTrip) {
   SubmitJob Submit{jobs::JobId("0123456789abcdef"), jobs::QueueName("q"), {}};
   Submit.Spec.Text = "text";
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -317,6 +317,19 @@
   BOOST_TEST(W.Queries.size() == 2);
 }
 
+BOOST_AUTO_TEST_CASE(QueriesOfSeveralStepsAreOutTogether) {
+  PolicyWorld W(6);
+  W.Config->Queues.front().Policy->DecisionTime = 300ms;
+  W.Decisions->limitQueries(4);
+  for (const char *Id : {"a", "b", "c", "d"}) {
+    W.submit(Id, simpleJob(1));
+  }
+  W.run(1500ms);
+  for (const char *Id : {"a", "b", "c", "d"}) {
+    BOOST_TEST((W.job(Id).Record.State == jobs::JobState::Completed));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AQueryWithoutAnswerIsRepeatedAfterAPause) {
   PolicyWorld W(2);
   const auto Honest = W.Policy;
--- a/Tests/Dispatch/World.cpp
+++ b/Tests/Dispatch/World.cpp
@@ -229,8 +229,8 @@
   for (const WorkerOrder &Order : Decisions->takeOrders()) {
     send(Order);
   }
-  if (const auto Query = Decisions->takeQuery()) {
-    ask(*Query);
+  for (const PermitQuery &Query : Decisions->takeQueries()) {
+    ask(Query);
   }
   record();
 }
