dispatch: Pace fillers by the tails of serving tasks

Change: the worst tail of a worker's serving tasks, as a part of its objective, sets one pace for its fillers: halved above the objective, 0 far above it, 20 percent more each second while there is room to spare. Holds of such workers wait 0.4 s. A pace order without an answer is repeated; a later holder begins at 50 percent.

Tests that fail without the loop: the objective is met within 3 s, fillers work whole again, lost answers, a later holder.

--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -363,7 +363,12 @@
           });
     }
     void operator()(const dispatch::PaceOrder &Pace) const {
-      Owner.Workers.pace(Pace, [](dispatch::OrderOutcome) {});
+      Owner.Workers.pace(
+          Pace, [&H = Owner, T = Term, Pace](dispatch::OrderOutcome Outcome) {
+            if (T == H.TermNumber) {
+              H.Decisions.paceAnswered(Pace, Outcome);
+            }
+          });
     }
   };
   std::visit(Visitor{*this, TermNumber}, Order);
--- a/Source/Control/PolicyRelay.cpp
+++ b/Source/Control/PolicyRelay.cpp
@@ -73,8 +73,8 @@
 absl::StatusOr<dispatch::PermitReply>
 decodePermits(const http::Response &Message) {
   if (Message.Status != 200) {
-    return absl::UnavailableError(fmt::format("the entry answered {}: {}",
-                                              Message.Status, Message.Body));
+    return absl::UnavailableError(
+        fmt::format("the entry answered {}: {}", Message.Status, Message.Body));
   }
   try {
     const json::value Parsed = json::parse(Message.Body);
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -16,6 +16,8 @@
 
 /// Covers what a timer is late and the way of an order.
 constexpr Duration LapseMargin = std::chrono::milliseconds(200);
+/// Percent for fillers that an earlier holder may have slowed down.
+constexpr unsigned AdoptedPace = 50;
 
 std::string_view endName(RunEnd How) {
   switch (How) {
@@ -37,6 +39,16 @@
 
 } // namespace
 
+bool WorkerState::shared() const {
+  bool Serving = false;
+  bool Filling = false;
+  for (const auto &[Task, Run] : Runs) {
+    Serving = Serving || Run.TailObjective > Duration::zero();
+    Filling = Filling || Run.Filler;
+  }
+  return Serving && Filling;
+}
+
 bool WorkerState::hasLabel(const std::string &Label) const {
   return std::find(Record.Labels.begin(), Record.Labels.end(), Label) !=
          Record.Labels.end();
@@ -116,6 +128,11 @@
         Run.Claim = claimOf(Spec);
         Run.Lasting = Spec.Lasting;
         Run.Filler = Spec.Filler;
+        Run.TailObjective = Spec.TailObjective;
+        if (Run.Filler) {
+          Run.Pace.reset();
+          Worker.Fillers = {AdoptedPace, TermBegan};
+        }
         Run.StopWanted = !Owner.open();
         Worker.Claimed += Run.Claim;
         Worker.Runs[{Owner.id(), Occurrence, Step, Index}] = Run;
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -35,6 +35,7 @@
       noteRecorded(Worker, Worker.EndsSeen); // they needed no record
     }
     orderStops(Worker);
+    orderPaces(Worker, Now);
     orderHold(Worker, Now, MayRenew);
   }
   if (MayPlace && PlanNeeded && Now >= NextPlanAt) {
@@ -93,6 +94,21 @@
   }
 }
 
+void Dispatcher::orderPaces(WorkerState &Worker, Instant Now) {
+  if (Now < Worker.NextPaceAt) {
+    return;
+  }
+  for (auto &[Task, Run] : Worker.Runs) {
+    if (!Run.Filler || Run.Phase != RunPhase::Running || Run.StopWanted ||
+        Run.PaceInFlight || Run.Pace == Worker.Fillers.Percent) {
+      continue;
+    }
+    Run.PaceInFlight = true;
+    Orders.emplace_back(PaceOrder{Worker.Record.Address, Token, Task, Run.Run,
+                                  Worker.Fillers.Percent});
+  }
+}
+
 void Dispatcher::orderHold(WorkerState &Worker, Instant Now, bool MayRenew) {
   if (Worker.HoldInFlight || Now < Worker.NextHoldAt ||
       Worker.Record.Address.Ip.empty() ||
@@ -110,7 +126,9 @@
         Worker.Runs.begin(), Worker.Runs.end(), [](const auto &Run) {
           return Run.second.Lasting && Run.second.Percent == 0;
         });
-    Order.Wait = Starting ? Settings.StartingHoldWait : Settings.HoldWait;
+    Order.Wait = Starting          ? Settings.StartingHoldWait
+                 : Worker.shared() ? Settings.SharedHoldWait
+                                   : Settings.HoldWait;
   }
   // A worker that doesn't answer isn't renewed: its runs could never be taken
   // as ended otherwise.
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -375,6 +375,7 @@
   State.Claim = claimOf(Which.spec());
   State.Lasting = Which.spec().Lasting;
   State.Filler = Which.spec().Filler;
+  State.TailObjective = Which.spec().TailObjective;
   if (const std::string *Ticket =
           Permits.find(stepOf(Task), Worker.Record.Life, Time.now())) {
     State.Ticket = *Ticket;
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -3,6 +3,7 @@
 
 #include "balsamlatch/Dispatch/Dispatcher.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace balsamlatch::dispatch {
@@ -19,6 +20,8 @@
 /// A worker that has no room, though it should have, is left alone so long.
 constexpr Duration NoRoomPause = std::chrono::milliseconds(100);
 constexpr Duration UnhealthyPause = std::chrono::milliseconds(500);
+/// Time from a pace order that wasn't carried out to the next one.
+constexpr Duration PaceRetry = std::chrono::milliseconds(200);
 /// Time from a query that wasn't answered to the next one.
 constexpr Duration QueryRetry = std::chrono::milliseconds(100);
 /// Time from a hold without answer to the next one.
@@ -68,6 +71,7 @@
   Worker.LastReportAt = Now;
   takeEnds(Worker, Report);
   takeRunning(Worker, Report, SentAt);
+  adjustPace(Worker, Now);
   Worker.NextHoldAt =
       Now + (Worker.Runs.empty() ? Settings.IdleHoldPeriod : Settings.HoldGap);
   if (Worker.EndsSeen != Worker.EndsRecorded) {
@@ -261,6 +265,49 @@
   proposeEnd(Worker, Order.Task, *Run, RunEnd::Refused, {});
 }
 
+void Dispatcher::adjustPace(WorkerState &Worker, Instant Now) {
+  if (!Worker.shared()) {
+    return;
+  }
+  TailReport Seen{0, Now};
+  for (const auto &[Task, Run] : Worker.Runs) {
+    if (Run.TailObjective > Duration::zero()) {
+      const Duration Tail = std::chrono::milliseconds(Run.Gauge);
+      Seen.WorstShare =
+          std::max(Seen.WorstShare,
+                   std::chrono::duration<double>(Tail) / Run.TailObjective);
+    }
+  }
+  const FillerPace Next = nextPace(Worker.Fillers, Seen);
+  if (Next.Percent != Worker.Fillers.Percent) {
+    Log.write(
+        LogLevel::Info, "fillers-paced",
+        {{"worker", Worker.Record.Life.Id},
+         {"percent", Next.Percent},
+         {"before", Worker.Fillers.Percent},
+         {"tail_percent", static_cast<std::int64_t>(Seen.WorstShare * 100)}});
+  }
+  Worker.Fillers = Next;
+}
+
+void Dispatcher::paceAnswered(const PaceOrder &Order, OrderOutcome Outcome) {
+  RunState *Run = Book == nullptr
+                      ? nullptr
+                      : findRun(Order.To.WorkerId, Order.Task, Order.Run);
+  Fenced = Fenced || Outcome == OrderOutcome::Fenced;
+  if (Run == nullptr) {
+    return;
+  }
+  Run->PaceInFlight = false;
+  if (Outcome == OrderOutcome::Done) {
+    Run->Pace = Order.Percent;
+    return;
+  }
+  // It may have been carried out, or may be yet; the next order settles it.
+  Run->Pace.reset();
+  Workers.at(Order.To.WorkerId).NextPaceAt = Time.now() + PaceRetry;
+}
+
 void Dispatcher::queryAnswered(const PermitQuery &Asked, Instant AskedAt,
                                const std::optional<PermitReply> &Reply) {
   if (Book == nullptr) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -36,6 +36,9 @@
   /// The same while a lasting task has not begun its work: nothing tells of
   /// that but an answer.
   Duration StartingHoldWait = std::chrono::milliseconds(250);
+  /// The same while fillers run next to serving tasks, whose tails tell how
+  /// fast the fillers may work.
+  Duration SharedHoldWait = std::chrono::milliseconds(400);
   /// Time between holds of a worker without runs.
   Duration IdleHoldPeriod = std::chrono::milliseconds(2000);
   /// Time between two holds that report ends, so that ends are batched.
@@ -67,6 +70,7 @@
                     OrderOutcome Outcome, const HoldReport &Report);
   void startAnswered(const StartOrder &Order, OrderOutcome Outcome);
   void stopAnswered(const StopOrder &Order, OrderOutcome Outcome);
+  void paceAnswered(const PaceOrder &Order, OrderOutcome Outcome);
 
   /// Does what is due. Call after other inputs, and at least every 20 ms.
   /// Without \p MayPlace no new run is proposed.
@@ -139,6 +143,8 @@
 
   void expireLeases(Instant Now);
   void orderStops(WorkerState &Worker);
+  void orderPaces(WorkerState &Worker, Instant Now);
+  void adjustPace(WorkerState &Worker, Instant Now);
   void orderHold(WorkerState &Worker, Instant Now, bool MayRenew);
   void orderStart(WorkerState &Worker, const TaskRef &Task, RunState &Run);
   void extendLapse(WorkerState &Worker, Instant Now);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -5,6 +5,7 @@
 #define BALSAMLATCH_DISPATCH_WORKERSTATE_H
 
 #include "balsamlatch/Dispatch/Orders.h"
+#include "balsamlatch/Dispatch/Pacing.h"
 
 #include <map>
 #include <unordered_map>
@@ -48,7 +49,11 @@
   std::string Checkpoint;
   /// Of the permit that it was placed by.
   std::string Ticket;
-  unsigned Pace = 100;
+  /// Of a serving task; zero for others.
+  Duration TailObjective{};
+  /// Of a filler, as last confirmed by the worker; unset while unknown.
+  std::optional<unsigned> Pace = 100;
+  bool PaceInFlight = false;
 };
 
 struct WorkerState {
@@ -85,6 +90,9 @@
   unsigned FailuresInRow = 0;
   JobId LastFailedJob;
   unsigned Suspicions = 0;
+  /// What its fillers should keep to, and when they may be told again.
+  FillerPace Fillers;
+  Instant NextPaceAt{};
   std::map<TaskRef, RunState> Runs;
   // Invariant: the sum of the claims of Runs that are not Ending.
   Resources Claimed;
@@ -98,6 +106,8 @@
     return Room;
   }
   bool hasLabel(const std::string &Label) const;
+  /// Whether fillers run next to serving tasks, so that their tails matter.
+  bool shared() const;
   /// Whether new work may be placed there.
   bool usable(Instant Now) const {
     return Listed && Contacted && !Silent && !Cordoned && !Record.Draining &&
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -436,3 +436,71 @@
   BOOST_REQUIRE(W.Decisions->hostsLacking().size() == 1);
   BOOST_TEST(W.Decisions->hostsLacking().begin()->second == 4);
 }
+
+namespace {
+
+/// One worker with a serving task whose tail must stay below 100 ms, and two
+/// fillers that disturb it.
+struct SharedWorld : World {
+  SharedWorld() : World(1) {
+    jobs::JobSpec Serving = lastingJob(1);
+    Serving.Steps.front().TailObjective = 100ms;
+    submit("serving", Serving);
+    jobs::JobSpec Filling = lastingJob(2);
+    Filling.Text = "filler";
+    Filling.Steps.front().MaxPerWorker = 0;
+    Filling.Steps.front().Filler = true;
+    submit("filler", Filling);
+    Workers[0].Tail = [](unsigned Disturbance) -> std::int64_t {
+      return 40 + Disturbance * 2 / 3; // 173 ms with both
+    };
+  }
+
+  /// How long the tail stays over its objective without a break, at most.
+  Duration longestOver(Duration Length) {
+    Duration Longest{};
+    Duration Over{};
+    for (Duration Done{}; Done < Length; Done += 50ms) {
+      run(50ms);
+      unsigned Sum = 0;
+      for (const auto &[Task, Pace] : Workers[0].Paces) {
+        Sum += Pace;
+      }
+      Over = Workers[0].Tail(Sum) > 100 ? Over + 50ms : Duration::zero();
+      Longest = std::max(Longest, Over);
+    }
+    return Longest;
+  }
+
+  unsigned pace() const {
+    return Workers[0].Paces.empty() ? 0 : Workers[0].Paces.begin()->second;
+  }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(FillersAreSlowedDownUntilServingTasksMeetTheirObjective) {
+  SharedWorld W;
+  BOOST_TEST((W.longestOver(10s) < 3s));
+  BOOST_TEST(W.Workers[0].Paces.size() == 2);
+  // Without disturbance they work whole again.
+  W.Workers[0].Tail = [](unsigned) -> std::int64_t { return 20; };
+  W.run(10s);
+  BOOST_TEST(W.pace() == 100);
+}
+
+BOOST_AUTO_TEST_CASE(APaceOrderWithoutAnswerIsRepeated) {
+  SharedWorld W;
+  unsigned Lost = 0;
+  W.LosesAnswer = [&](const WorkerOrder &Order) {
+    return std::holds_alternative<PaceOrder>(Order) && ++Lost <= 2;
+  };
+  BOOST_TEST((W.longestOver(10s) < 4s));
+}
+
+BOOST_AUTO_TEST_CASE(ALaterHolderPacesFillersAnew) {
+  SharedWorld W;
+  W.run(10s);
+  W.changeHolder();
+  BOOST_TEST((W.longestOver(10s) < 3s));
+}
--- a/Tests/Dispatch/World.cpp
+++ b/Tests/Dispatch/World.cpp
@@ -66,7 +66,13 @@
               : (Run.Lasting ? 100
                              : static_cast<unsigned>(100 * (Now - Run.Began) /
                                                      (RunTime + Duration(1))));
-    Report.Running.push_back({Task, Run.Number, "", Percent, 0});
+    unsigned Disturbance = 0;
+    for (const auto &[Filler, Pace] : Paces) {
+      Disturbance += Runs.contains(Filler) ? Pace : 0;
+    }
+    const std::int64_t Gauge =
+        Tail && !Paces.contains(Task) ? Tail(Disturbance) : 0;
+    Report.Running.push_back({Task, Run.Number, "", Percent, Gauge});
   }
   return Report;
 }
@@ -93,12 +99,28 @@
     return OrderOutcome::OldRun;
   }
   LeaseUntil = std::max(LeaseUntil, Order.LeaseUntil);
+  if (Order.SpecText == "filler") {
+    Paces[Order.Task] = 100;
+  }
   Into.Runs.push_back({Order.Task, Order.Run, Record.Life.Id, Now});
   Runs[Order.Task] = {Order.Run, Lasting, Now, Order.LeaseUntil,
                       Into.Runs.size() - 1};
   return OrderOutcome::Done;
 }
 
+OrderOutcome FakeWorker::pace(const PaceOrder &Order) {
+  if (Order.Token < Highest) {
+    return OrderOutcome::Fenced;
+  }
+  Highest = Order.Token;
+  const auto Running = Runs.find(Order.Task);
+  if (Running == Runs.end() || Running->second.Number != Order.Run) {
+    return OrderOutcome::OldRun;
+  }
+  Paces[Order.Task] = Order.Percent;
+  return OrderOutcome::Done;
+}
+
 OrderOutcome FakeWorker::stop(const StopOrder &Order, Instant Now,
                               History &Into) {
   if (Order.Token < Highest) {
@@ -320,6 +342,9 @@
       Decisions->startAnswered(*Start, OrderOutcome::Unknown);
     } else if (const auto *Stop = std::get_if<StopOrder>(&Order)) {
       Decisions->stopAnswered(*Stop, OrderOutcome::Unknown);
+    } else {
+      Decisions->paceAnswered(std::get<PaceOrder>(Order),
+                              OrderOutcome::Unknown);
     }
   });
 }
@@ -362,6 +387,16 @@
     if (Heard) {
       Decisions->stopAnswered(*Stop, Outcome);
     }
+  } else {
+    const auto &Pace = std::get<PaceOrder>(Order);
+    FakeWorker &To = *find(Pace.To.WorkerId);
+    OrderOutcome Outcome = OrderOutcome::Unknown;
+    if (Reached(To, Outcome)) {
+      Outcome = To.pace(Pace);
+    }
+    if (Heard) {
+      Decisions->paceAnswered(Pace, Outcome);
+    }
   }
 }
 
--- a/Tests/Dispatch/World.h
+++ b/Tests/Dispatch/World.h
@@ -61,6 +61,12 @@
   OrderOutcome start(const StartOrder &Order, bool Lasting, Instant Now,
                      History &Into);
   OrderOutcome stop(const StopOrder &Order, Instant Now, History &Into);
+  OrderOutcome pace(const PaceOrder &Order);
+  /// The tail of its serving tasks for what its fillers do together, in
+  /// percent of one; unset where no filler disturbs.
+  std::function<std::int64_t(unsigned)> Tail;
+  /// Paces of the runs whose spec says "filler".
+  std::map<TaskRef, unsigned> Paces;
   void advance(Instant Now, History &Into);
   /// Ends all runs; a new life begins.
   void crash(Instant Now, History &Into);
