--- a/Tests/Dispatch/HostKeeperTest.cpp
+++ b/Tests/Dispatch/HostKeeperTest.cpp
@@ -46,6 +46,17 @@
 
   void list() { Keeper.setHosts(Hosts, *W.Decisions); }
 
+  /// All hosts but the first ones stand by, and the keeper knows of them.
+  void standBy(std::size_t Kept) {
+    W.Config->Pools.push_back({Spare, true});
+    for (std::size_t Number = Kept; Number < Hosts.size(); ++Number) {
+      Hosts[Number].Pool = Spare;
+      Hosts[Number].WorkerId.clear();
+    }
+    W.run(4s);
+    list();
+  }
+
   std::vector<HostOrder> decide() {
     std::vector<HostOrder> Orders;
     for (const HostDecision &Each :
@@ -299,13 +310,7 @@
   // A queue's turn begins: the first job fills one host, and more follow
   // before a host that is moved now can run anything.
   Fleet F(6);
-  F.W.Config->Pools.push_back({Spare, true});
-  for (std::size_t Number = 2; Number < F.Hosts.size(); ++Number) {
-    F.Hosts[Number].Pool = Spare;
-    F.Hosts[Number].WorkerId.clear();
-  }
-  F.W.run(4s);
-  F.list();
+  F.standBy(2);
   BOOST_TEST(F.decide().empty());
   F.W.submit("a", simpleJob(4));
   F.W.run(50ms);
@@ -314,13 +319,7 @@
 
 BOOST_AUTO_TEST_CASE(HostsAreMovedForOccurrencesThatAreAboutToBeDue) {
   Fleet F(6);
-  F.W.Config->Pools.push_back({Spare, true});
-  for (std::size_t Number = 2; Number < F.Hosts.size(); ++Number) {
-    F.Hosts[Number].Pool = Spare;
-    F.Hosts[Number].WorkerId.clear();
-  }
-  F.W.run(4s);
-  F.list();
+  F.standBy(2);
   jobs::JobSpec Spec = simpleJob(16);
   Spec.Times = {2, F.W.Time.wallNow() + 5s, 5s};
   F.W.submit("a", Spec);
