--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -170,3 +170,20 @@
       "file", "[entry]\nname = e\ncallers = nowhere\ngrace = long\nodd = 1\n");
   BOOST_TEST(Bad.Found.all().size() >= 6);
 }
+
+BOOST_AUTO_TEST_CASE(SettingsWithoutAValueKeepTheirDefault) {
+  // The platform has no value for bounds that a deployment doesn't use.
+  const ParsedSettings Read = parseSettings(
+      "file", "[entry]\nname = e\ncallers = 10.0.0.1:1\n"
+              "readiness = 10.0.0.1:2\ninternal = 10.0.0.1:3\n"
+              "grace = \ncpu-share = 0.25\n[store]\naddress = 10.0.0.2:4\n"
+              "[hosts]\naddress = 10.0.0.2:5\norder-gap = \nmove-time =\n"
+              "[advice]\naddress =\n");
+  BOOST_TEST(!Read.Found.hasErrors());
+  BOOST_TEST((Read.Values.Grace == Settings().Grace));
+  BOOST_TEST((Read.Values.HostOrderGap == Settings().HostOrderGap));
+  BOOST_TEST(Read.Values.Advice.Ip.empty());
+  BOOST_TEST(Read.Values.CpuMilli == 250U);
+  // Without its address the store can't be reached.
+  BOOST_TEST(parseSettings("file", "[store]\naddress =\n").Found.hasErrors());
+}
