control, dispatch: One place that takes in a holder; no needless state or walks

Found in a read of the whole change. leadChanged() and learn() did the same with a holder that they heard of; both call noteHolder() now. The waits of the plan before are a local of plan(); steps are keyed by StepRef in the host keeper too; a policy's validity was read and never used, as each answer states it. Workers whose fillers were never slowed down are not walked for pace orders, and the policy relay reads the clock once for all entries.

Behaviour unchanged.

--- a/Source/Control/Holder.cpp
+++ b/Source/Control/Holder.cpp
@@ -48,12 +48,16 @@
               {{"why", std::string(Record.status().message())}});
     return;
   }
-  Known = *Record;
-  KnownToken = Found->second.Revision;
-  if (Stage == Following && leftByEarlierProcess(Found->second)) {
+  const bool Own = Stage == Following && leftByEarlierProcess(Found->second);
+  noteHolder(*Record, Found->second.Revision);
+  if (Own) {
     acquire();
-    return;
   }
+}
+
+void Holder::noteHolder(const EntryRecord &Record, std::uint64_t ItsToken) {
+  Known = Record;
+  KnownToken = ItsToken;
   if ((Stage == Leading || Stage == Loading) && KnownToken > Token) {
     stepDown("another entry has taken over");
   }
@@ -94,11 +98,7 @@
   }
   Log.write(LogLevel::Info, "holder-learnt",
             {{"holder", View.Known->Entry}, {"token", View.Token}});
-  Known = View.Known;
-  KnownToken = View.Token;
-  if ((Stage == Leading || Stage == Loading) && KnownToken > Token) {
-    stepDown("another entry has taken over");
-  }
+  noteHolder(*View.Known, View.Token);
 }
 
 void Holder::yield() {
--- a/Source/Control/PolicyRelay.cpp
+++ b/Source/Control/PolicyRelay.cpp
@@ -107,16 +107,18 @@
 }
 
 std::size_t PolicyRelay::slots() const {
+  const Instant Now = Time.now();
   std::size_t Count = 0;
   for (const auto &[Name, Each] : Helpers) {
-    Count += Each.Busy || Time.now() >= Each.AvoidUntil ? 1 : 0;
+    Count += Each.Busy || Now >= Each.AvoidUntil ? 1 : 0;
   }
   return Count;
 }
 
 PolicyRelay::Helper *PolicyRelay::freeHelper() {
+  const Instant Now = Time.now();
   for (auto &[Name, Each] : Helpers) {
-    if (!Each.Busy && Time.now() >= Each.AvoidUntil) {
+    if (!Each.Busy && Now >= Each.AvoidUntil) {
       return &Each;
     }
   }
--- a/Source/Control/include/balsamlatch/Control/Holder.h
+++ b/Source/Control/include/balsamlatch/Control/Holder.h
@@ -88,6 +88,7 @@
   enum StageKind { Following, Acquiring, Loading, Leading, Retired };
 
   void leadChanged();
+  void noteHolder(const EntryRecord &Record, std::uint64_t ItsToken);
   void leadFree();
   /// Whether this entry wrote the holder's key before it was started again.
   bool leftByEarlierProcess(const StoredItem &Found) const;
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -83,7 +83,6 @@
   LastFailedOn.clear();
   EndingAt.clear();
   UnplacedSince.clear();
-  UnplacedBefore.clear();
   Lacking.clear();
   Permits.clear();
   Queries.clear();
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -95,7 +95,8 @@
 }
 
 void Dispatcher::orderPaces(WorkerState &Worker, Instant Now) {
-  if (Now < Worker.NextPaceAt) {
+  // Fillers begin whole, so that most workers need no orders at all.
+  if (Worker.Fillers.ChangedAt == Instant() || Now < Worker.NextPaceAt) {
     return;
   }
   for (auto &[Task, Run] : Worker.Runs) {
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -161,13 +161,15 @@
     }
   }
   const std::vector<Candidate> Waiting = candidates();
-  UnplacedBefore = std::exchange(UnplacedSince, {});
+  const std::map<StepRef, Instant> Before = std::exchange(UnplacedSince, {});
   Lacking.clear();
   for (const Candidate &Which : Waiting) {
     const std::vector<WorkerState *> &Among = Usable[Which.Pool];
     const std::size_t Left = placeStep(Which, Among);
     if (Left > 0 && !Among.empty()) {
-      noteUnplaced(Which, Left, Among.size(), Among.front()->Record.Capacity);
+      const auto Waited = Before.find(stepOf(Which.task(0)));
+      noteUnplaced(Which, Left, Waited == Before.end() ? Now : Waited->second,
+                   Among);
     }
   }
   if (Now >= NextQueryAt) {
@@ -225,16 +227,13 @@
 }
 
 void Dispatcher::noteUnplaced(const Candidate &Which, std::size_t Tasks,
-                              std::size_t UsableWorkers,
-                              const Resources &OfEach) {
-  const StepRef Step = stepOf(Which.task(0));
-  const Instant Now = Time.now();
-  const auto Before = UnplacedBefore.find(Step);
-  const Instant Since = Before == UnplacedBefore.end() ? Now : Before->second;
-  UnplacedSince[Step] = Since;
-  if (Now - Since < UnplacedPatience) {
+                              Instant Since,
+                              const std::vector<WorkerState *> &Among) {
+  UnplacedSince[stepOf(Which.task(0))] = Since;
+  if (Time.now() - Since < UnplacedPatience) {
     return;
   }
+  const Resources &OfEach = Among.front()->Record.Capacity;
   const Resources Claim = claimOf(Which.spec());
   const auto InOne = [](std::int64_t Need, std::int64_t Room) {
     return Need <= 0 ? std::numeric_limits<std::int64_t>::max()
@@ -244,7 +243,7 @@
       std::min(InOne(Claim.CpuMilli, OfEach.CpuMilli),
                InOne(Claim.MemoryMb, OfEach.MemoryMb)));
   unsigned &Hosts = Lacking[Which.Pool];
-  Hosts = std::max(Hosts, static_cast<unsigned>(UsableWorkers)) +
+  Hosts = std::max(Hosts, static_cast<unsigned>(Among.size())) +
           static_cast<unsigned>((Tasks - 1) / PerHost + 1);
 }
 
--- a/Source/Dispatch/HostKeeper.cpp
+++ b/Source/Dispatch/HostKeeper.cpp
@@ -46,7 +46,7 @@
   return Run == Worker->second.Runs.end() ? nullptr : &Run->second;
 }
 
-unsigned awayOfStep(const jobs::Job &Owner, const TaskRef &Of,
+unsigned awayOfStep(const jobs::Job &Owner, const StepRef &Of,
                     const Dispatcher &Workers) {
   const unsigned Count = Owner.spec().Steps[Of.Step].Count;
   unsigned Away = 0;
@@ -78,7 +78,7 @@
       continue;
     }
     const unsigned Allowed = Owner->spec().Steps[Task.Step].MaxUnavailable;
-    if (Allowed == 0 || awayOfStep(*Owner, Task, Workers) < Allowed) {
+    if (Allowed == 0 || awayOfStep(*Owner, stepOf(Task), Workers) < Allowed) {
       return Task;
     }
   }
@@ -89,12 +89,12 @@
                  const jobs::JobBook &Jobs) {
   // Tasks at work here, by step; those that are not known to be count as away
   // already.
-  std::map<TaskRef, unsigned> Taken;
+  std::map<StepRef, unsigned> Taken;
   for (const auto &[Task, Run] : Worker.Runs) {
     const jobs::Job *Owner = Jobs.find(Task.Job);
     if (Owner != nullptr && Owner->open() && Run.Lasting && mayBeAtWork(Run) &&
         Owner->spec().Steps[Task.Step].MaxUnavailable > 0) {
-      Taken[{Task.Job, Task.Occurrence, Task.Step, 0}] += atWork(Run) ? 1 : 0;
+      Taken[stepOf(Task)] += atWork(Run) ? 1 : 0;
     }
   }
   return std::all_of(Taken.begin(), Taken.end(), [&](const auto &Each) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
@@ -24,11 +24,10 @@
 using jobs::WorkerLife;
 
 /// A queue's steps may run on some workers only, which a policy service
-/// decides. What its decisions take and how long they hold.
+/// decides, and what its decisions take.
 struct PlacementPolicy {
   Duration DecisionTime{};
   Duration TimePerWorker{};
-  Duration Validity{};
 
   auto operator<=>(const PlacementPolicy &) const = default;
 };
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -167,8 +167,8 @@
   std::vector<WorkerState *>
   chooseGang(const Candidate &Which, const std::vector<unsigned> &Indexes,
              const std::vector<WorkerState *> &Among);
-  void noteUnplaced(const Candidate &Which, std::size_t Tasks,
-                    std::size_t UsableWorkers, const Resources &OfEach);
+  void noteUnplaced(const Candidate &Which, std::size_t Tasks, Instant Since,
+                    const std::vector<WorkerState *> &Among);
   WorkerState *choose(const Candidate &Which, unsigned Index,
                       const std::vector<WorkerState *> &Among) const;
   void propose(const Candidate &Which, unsigned Index, WorkerState &Worker,
@@ -202,7 +202,6 @@
   std::unordered_map<TaskRef, std::string> EndingAt;
   // Since when steps have tasks that no usable worker can take.
   std::map<StepRef, Instant> UnplacedSince;
-  std::map<StepRef, Instant> UnplacedBefore;
   std::map<PoolName, unsigned> Lacking;
   PermitBook Permits;
   std::vector<PermitQuery> Queries;
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -253,7 +253,7 @@
 /// A world whose queue has a placement policy that allows odd workers only.
 struct PolicyWorld : World {
   explicit PolicyWorld(unsigned Count) : World(Count) {
-    Config->Queues.front().Policy = PlacementPolicy{50ms, 2ms, 1s};
+    Config->Queues.front().Policy = PlacementPolicy{50ms, 2ms};
     for (unsigned Number = 0; Number < Count; ++Number) {
       Workers[Number].Ticket = Number % 2 == 1 ? ticketOf(Number) : "none";
     }
