control: Count the lease from the sending of its grant; forget workers between terms

Found by reading the code for what went wrong at similar systems, a paused process that acts on a permission that has run out, and a server that left and is in use again after a restart:

- acquireLease counted the lease from the arrival of the grant's reply.
A process that was paused in between held a lease that had run out, and told callers that jobs of the next leader don't exist.
- claimLeadership counted the last contact with the store from the reply, so after a pause run leases were renewed for longer after it than the next leader assumes (StoreOutageRenewal): two runs of one task at a time.
- beginTerm used the registrations read in an earlier term of the same process until the store had listed them anew.
A worker that had left meanwhile, or whose address another service has now, was given work.

Ruled out: renewals and appends already count from their sending; host orders check the age of their record's reply.

--- a/Source/Control/JobController.cpp
+++ b/Source/Control/JobController.cpp
@@ -121,26 +121,38 @@
 
 void JobController::acquireLease() {
   State = Acquiring;
-  Store.grantLease(Settings.LeaseDuration, [this](const LeaseReply &Reply) {
-    if (State != Acquiring) {
-      return;
-    }
-    if (!Reply.Status.ok()) {
-      Loop.after(AcquireRetryDelay, [this] {
-        if (State == Acquiring) {
-          State = Following;
-          handleElectionChange();
+  Store.grantLease(
+      Settings.LeaseDuration,
+      [this, SentAt = Time.now()](const LeaseReply &Reply) {
+        if (State != Acquiring) {
+          return;
+        }
+        if (!Reply.Status.ok()) {
+          retryElection();
+          return;
+        }
+        // The store may have granted the lease long before its reply arrived.
+        LeaseExpiry = SentAt + Settings.LeaseDuration - LeaseMargin;
+        if (Time.now() >= LeaseExpiry) {
+          Store.revokeLease(Reply.Lease);
+          retryElection();
+          return;
         }
+        const auto LeaderIt = ElectionMirror.items().find(Settings.LeaderKey);
+        claimLeadership(Reply.Lease,
+                        LeaderIt != ElectionMirror.items().end() &&
+                                wasWrittenByPreviousProcess(LeaderIt->second)
+                            ? LeaderIt->second.Revision
+                            : 0);
       });
-      return;
+}
+
+void JobController::retryElection() {
+  Loop.after(AcquireRetryDelay, [this] {
+    if (State == Acquiring) {
+      State = Following;
+      handleElectionChange();
     }
-    LeaseExpiry = Time.now() + Settings.LeaseDuration - LeaseMargin;
-    const auto LeaderIt = ElectionMirror.items().find(Settings.LeaderKey);
-    claimLeadership(Reply.Lease,
-                    LeaderIt != ElectionMirror.items().end() &&
-                            wasWrittenByPreviousProcess(LeaderIt->second)
-                        ? LeaderIt->second.Revision
-                        : 0);
   });
 }
 
@@ -150,7 +162,8 @@
   Request.Conditions = {{Settings.LeaderKey, ExpectedRevision}};
   Request.Writes = {{Settings.LeaderKey, encodeEntry(Settings.Self), NewLease}};
   Store.commit(std::move(Request),
-               [this, NewLease](const TransactionReply &Reply) {
+               [this, NewLease,
+                SentAt = Time.now()](const TransactionReply &Reply) {
                  if (State != Acquiring || !Reply.Status.ok()) {
                    Store.revokeLease(NewLease);
                  }
@@ -166,7 +179,7 @@
                  Token = Reply.Revision;
                  LatestToken = Token;
                  KnownLeader = Settings.Self;
-                 LastStoreContact = Time.now();
+                 LastStoreContact = SentAt;
                  ++TermNumber;
                  Log.write(LogLevel::Info, "lead-taken", {{"token", Token}});
                  Loop.after(Settings.RenewPeriod, [this, Term = TermNumber] {
@@ -230,6 +243,8 @@
   }
   JobJournal.stop();
   JobDispatcher.end();
+  // Workers may leave before the next term, when they are read again.
+  WorkerRecords.clear();
   Store.revokeLease(LeaseId);
   PendingEvents.clear();
   for (auto *Requests : {&PendingSubmits, &PendingCancels}) {
--- a/Source/Control/include/balsamlatch/Control/JobController.h
+++ b/Source/Control/include/balsamlatch/Control/JobController.h
@@ -95,6 +95,7 @@
   /// Whether an earlier process of this entry wrote the leader's key.
   bool wasWrittenByPreviousProcess(const StoredItem &LeaderItem) const;
   void acquireLease();
+  void retryElection();
   void claimLeadership(std::uint64_t NewLease, std::uint64_t ExpectedRevision);
   void loadJournal();
   void beginTerm();
@@ -128,6 +129,7 @@
   dispatch::Dispatcher JobDispatcher;
   std::unique_ptr<jobs::JobTable> Table = std::make_unique<jobs::JobTable>();
   std::shared_ptr<const dispatch::Deployment> Config;
+  /// Workers registered during the current term; empty between terms.
   std::map<std::string, dispatch::WorkerRecord> WorkerRecords;
 
   ElectionState State = Following;
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -36,6 +36,41 @@
   void ask(const dispatch::PermitQuery &, ReplyCallback) override {}
 };
 
+/// Workers that report the same running task to each renewal.
+class ReportingWorkers final : public WorkerPort {
+public:
+  explicit ReportingWorkers(EventLoop &CallbackLoop) : Loop(CallbackLoop) {}
+
+  void renew(const dispatch::RenewOrder &Order,
+             RenewCallback Callback) override {
+    Renewals.push_back(Order);
+    dispatch::RenewReport Report;
+    Report.Incarnation = 5;
+    Report.Running = {{RunningTask, 1, "", 50, 0}};
+    Loop.after(1ms, [Callback = std::move(Callback), Report] {
+      Callback(dispatch::OrderOutcome::Done, Report);
+    });
+  }
+  void start(const dispatch::StartOrder &, ReplyCallback) override {}
+  void stop(const dispatch::StopOrder &, ReplyCallback) override {}
+  void pace(const dispatch::PaceOrder &, ReplyCallback) override {}
+
+  jobs::TaskRef RunningTask{jobs::JobId("running"), 0, 0, 0};
+  std::vector<dispatch::RenewOrder> Renewals;
+
+private:
+  EventLoop &Loop;
+};
+
+dispatch::WorkerRecord registeredWorker(const std::string &Id) {
+  dispatch::WorkerRecord Record;
+  Record.Instance = {Id, 5};
+  Record.Pool = PoolName("p");
+  Record.Address = {"127.0.0.1", 1, Id};
+  Record.Capacity = {1000, 1000, 0};
+  return Record;
+}
+
 jobs::JobEvent acceptedEvent(const std::string &Id) {
   jobs::JobAccepted Event;
   Event.Job = jobs::JobId(Id);
@@ -50,6 +85,7 @@
   FakeStore Store{Loop};
   UnresponsiveWorkers Workers;
   UnresponsivePolicies Policies;
+  WorkerPort *WorkerAdapter = &Workers;
 
   /// Runs the loop until the predicate holds; returns false after two seconds.
   template <typename Predicate> bool runUntil(Predicate IsMet) {
@@ -103,6 +139,7 @@
   std::shared_ptr<dispatch::Deployment> Config =
       std::make_shared<dispatch::Deployment>();
   Duration MinAppendInterval = 15ms;
+  dispatch::DispatchOptions DispatchSettings;
 
   ElectionFixture() {
     Config->Version = 1;
@@ -116,8 +153,9 @@
     JobControllerOptions Options;
     Options.Self = {Name, "127.0.0.1", 1, CpuMilli};
     Options.MinAppendInterval = MinAppendInterval;
-    auto NewEntry = std::make_unique<JobController>(Loop, Time, Log, Store,
-                                                    Workers, Policies, Options);
+    Options.Dispatch = DispatchSettings;
+    auto NewEntry = std::make_unique<JobController>(
+        Loop, Time, Log, Store, *WorkerAdapter, Policies, Options);
     NewEntry->configure(Config);
     NewEntry->start();
     return NewEntry;
@@ -228,6 +266,55 @@
   BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
 }
 
+BOOST_FIXTURE_TEST_CASE(ANewTermDoesNotUseTheWorkersOfAnEarlierTerm,
+                        ElectionFixture) {
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  FirstEntry->setWorkers({{"left", registeredWorker("left")}});
+  BOOST_TEST(FirstEntry->dispatcher().workers().size() == 1);
+  Store.expire(Store.Items.at("lead/jobs").Lease);
+  BOOST_TEST(runUntil([&] { return !FirstEntry->isLeading(); }));
+  // The worker leaves while no entry leads.
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  BOOST_TEST(FirstEntry->dispatcher().workers().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ALeaseThatExpiredBeforeItsReplyIsNotUsed,
+                        ElectionFixture) {
+  Store.GrantReplyDelay = 950ms; // As after a pause of the process.
+  auto FirstEntry = startEntry("one");
+  bool HasLed = false;
+  FirstEntry->OnLeadershipChanged = [&](bool Leading) {
+    HasLed = HasLed || Leading;
+  };
+  runFor(1400ms);
+  BOOST_TEST(!HasLed);
+  Store.GrantReplyDelay = 1ms;
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+}
+
+BOOST_FIXTURE_TEST_CASE(StoreContactCountsFromTheSendingOfTheClaim,
+                        ElectionFixture) {
+  ReportingWorkers RunningWorkers(Loop);
+  WorkerAdapter = &RunningWorkers;
+  const jobs::TaskRef Task = RunningWorkers.RunningTask;
+  Store.put("journal/000000000001",
+            jobs::encodeEvents({acceptedEvent(Task.Job.Text),
+                                jobs::TaskPlaced{Task, 1, {"w", 5}}}));
+  DispatchSettings.StoreOutageRenewal = 400ms;
+  Store.CommitReplyDelay = 500ms; // As after a pause of the process.
+  Store.RenewalsToIgnore = 1000;
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  FirstEntry->setWorkers({{"w", registeredWorker("w")}});
+  BOOST_TEST(runUntil([&] { return RunningWorkers.Renewals.size() >= 3; }));
+  // The next leader assumes that this one renewed for no more than
+  // StoreOutageRenewal after it last reached the store.
+  for (const dispatch::RenewOrder &Renewal : RunningWorkers.Renewals) {
+    BOOST_TEST(!Renewal.LeaseUntil.has_value());
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(JobsAreRefusedAtOnceWhileTheStoreIsUnavailable,
                         ElectionFixture) {
   auto FirstEntry = startEntry("one");
--- a/Tests/Control/FakeStore.cpp
+++ b/Tests/Control/FakeStore.cpp
@@ -108,7 +108,7 @@
       Reply.Status = absl::DeadlineExceededError("no answer");
     }
   }
-  Loop.after(ReplyDelay,
+  Loop.after(CommitReplyDelay,
              [Callback = std::move(Callback), Reply] { Callback(Reply); });
 }
 
@@ -120,7 +120,7 @@
     Reply.TimeToLive = TimeToLive;
     ActiveLeases.insert(Reply.Lease);
   }
-  Loop.after(ReplyDelay,
+  Loop.after(GrantReplyDelay,
              [Callback = std::move(Callback), Reply] { Callback(Reply); });
 }
 
--- a/Tests/Control/FakeStore.h
+++ b/Tests/Control/FakeStore.h
@@ -41,6 +41,9 @@
   unsigned WritesToDelay = 0;
   /// Number of coming lease renewals that get no reply.
   unsigned RenewalsToIgnore = 0;
+  /// Time after which the replies to lease grants and writes arrive.
+  Duration GrantReplyDelay = std::chrono::milliseconds(1);
+  Duration CommitReplyDelay = std::chrono::milliseconds(1);
   bool IsUnavailable = false;
   /// Items on one page of a list reply.
   std::size_t PageSize = 3;
