jobs, platform: Malformed input ends no process

Looked for: one malformed message that takes a process down.

Schedules are bounded (100,000 occurrences, 1970 to 2269), and a pass plans at most 100 open occurrences of a job. - Amounts, estimates and times whose sums overflow are rejected with a message. Numbers in a worker's report are range checked before conversion. - The status of waves is read page by page, not only its first page.

--- a/Source/Control/HostController.cpp
+++ b/Source/Control/HostController.cpp
@@ -27,16 +27,21 @@
 constexpr std::string_view FleetPrefix = "fleet/";
 constexpr Duration RetryDelay = std::chrono::milliseconds(200);
 
-/// Hosts with recent orders of the previous leader; empty if \p Text is no JSON
-/// array, as when the key was never written.
-std::set<HostName> decodeOrders(const std::string &Text) {
+/// Hosts with recent orders of the previous leader; none if \p Text is empty,
+/// as when the key was never written.
+absl::StatusOr<std::set<HostName>> decodeOrders(const std::string &Text) {
   std::set<HostName> Names;
-  boost::system::error_code ParseError;
-  const json::value Document = json::parse(Text, ParseError);
-  if (!ParseError && Document.is_array()) {
-    for (const json::value &Name : Document.get_array()) {
+  if (Text.empty()) {
+    return Names;
+  }
+  try {
+    const json::value Document = json::parse(Text);
+    for (const json::value &Name : Document.as_array()) {
       Names.emplace(std::string(Name.as_string()));
     }
+  } catch (const std::exception &Error) {
+    return absl::DataLossError(
+        fmt::format("malformed list of ordered hosts: {}", Error.what()));
   }
   return Names;
 }
@@ -88,6 +93,7 @@
     : Loop(CallbackLoop), Time(TimeSource), Log(Sink), Store(Backend),
       Hosts(HostAdapter), LocalController(Controller),
       WaveReports(std::move(ReportFormat)),
+      HandoverDelay(Options.HandoverDelay),
       Scheduler(TimeSource, Options, Sink) {}
 
 void HostController::begin() {
@@ -106,17 +112,34 @@
   // The key of a wave's status ends with its number.
   std::string StatusPrefix = WaveReports.Key(0);
   StatusPrefix.pop_back();
-  loadStoredValues(StatusPrefix, [this] {
-    loadStoredValues(std::string(FleetPrefix), [this] {
+  loadStoredValues(StatusPrefix, "", [this] {
+    loadStoredValues(std::string(FleetPrefix), "", [this] {
       StoredValuesLoaded = true;
-      Scheduler.setRecentOrders(
-          decodeOrders(StoredValues[std::string(OrdersKey)]));
+      adoptRecentOrders();
       addOpenWaves();
     });
   });
   tick();
 }
 
+void HostController::adoptRecentOrders() {
+  absl::StatusOr<std::set<HostName>> Names =
+      decodeOrders(StoredValues[std::string(OrdersKey)]);
+  if (Names.ok()) {
+    Scheduler.setRecentOrders(*std::move(Names));
+    return;
+  }
+  // Any host may have been ordered; such orders are carried out within the
+  // handover delay.
+  Log.write(LogLevel::Error, "host-orders-unreadable",
+            {{"why", std::string(Names.status().message())}});
+  Loop.after(HandoverDelay, [this, CallTerm = Term] {
+    if (CallTerm == Term) {
+      Scheduler.setRecentOrders({});
+    }
+  });
+}
+
 void HostController::end() {
   ++Term;
   IsLeading = false;
@@ -128,24 +151,30 @@
 }
 
 void HostController::loadStoredValues(const std::string &Prefix,
+                                      const std::string &AfterKey,
                                       std::function<void()> Callback) {
-  Store.list(Prefix, "",
-             [this, Prefix, Callback = std::move(Callback),
+  Store.list(Prefix, AfterKey,
+             [this, Prefix, AfterKey, Callback = std::move(Callback),
               CallTerm = Term](const PageReply &Reply) {
                if (CallTerm != Term) {
                  return;
                }
                if (!Reply.Status.ok()) {
-                 Loop.after(RetryDelay, [this, Prefix, Callback, CallTerm] {
-                   if (CallTerm == Term) {
-                     loadStoredValues(Prefix, Callback);
-                   }
-                 });
+                 Loop.after(RetryDelay,
+                            [this, Prefix, AfterKey, Callback, CallTerm] {
+                              if (CallTerm == Term) {
+                                loadStoredValues(Prefix, AfterKey, Callback);
+                              }
+                            });
                  return;
                }
                for (const StoredItem &Item : Reply.Items) {
                  StoredValues[Item.Key] = Item.Value;
                }
+               if (Reply.HasMore && !Reply.Items.empty()) {
+                 loadStoredValues(Prefix, Reply.Items.back().Key, Callback);
+                 return;
+               }
                Callback();
              });
 }
--- a/Source/Control/JobWire.cpp
+++ b/Source/Control/JobWire.cpp
@@ -75,6 +75,10 @@
   if (!Spec.ok()) {
     return Spec.status();
   }
+  if (absl::Status ValidationStatus = jobs::validate(*Spec);
+      !ValidationStatus.ok()) {
+    return ValidationStatus;
+  }
   return SubmitJob{Job, jobs::QueueName(std::string(Message.query("queue"))),
                    *std::move(Spec)};
 }
@@ -93,8 +97,14 @@
   try {
     const json::value Document = json::parse(Message.Body);
     const json::array &Items = Document.as_array();
-    return {static_cast<JobReply::OutcomeKind>(Items.at(0).to_number<int>()),
-            static_cast<jobs::JobState>(Items.at(1).to_number<int>()),
+    const int Outcome = Items.at(0).to_number<int>();
+    const int State = Items.at(1).to_number<int>();
+    if (Outcome < 0 || Outcome > JobReply::Unknown || State < 0 ||
+        State > static_cast<int>(jobs::JobState::Cancelled)) {
+      return {JobReply::Unknown};
+    }
+    return {static_cast<JobReply::OutcomeKind>(Outcome),
+            static_cast<jobs::JobState>(State),
             Items.at(2).to_number<unsigned>(),
             Duration(Items.at(3).to_number<std::int64_t>())};
   } catch (const std::exception &) {
--- a/Source/Control/Journal.cpp
+++ b/Source/Control/Journal.cpp
@@ -6,6 +6,7 @@
 #include "balsamlatch/Jobs/JournalCodec.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace balsamlatch::control {
@@ -22,6 +23,17 @@
   return fmt::format("{}{:012x}", KeyPrefix, Number);
 }
 
+/// The number of a record; unset if the key isn't one of a record.
+std::optional<std::uint64_t> recordNumber(const std::string &Key) {
+  std::uint64_t Number = 0;
+  const char *End = Key.data() + Key.size();
+  const auto [Rest, Error] =
+      std::from_chars(Key.data() + KeyPrefix.size(), End, Number, HexBase);
+  return Error == std::errc() && Rest == End && recordKey(Number) == Key
+             ? std::optional(Number)
+             : std::nullopt;
+}
+
 } // namespace
 
 struct Journal::PendingAppend {
@@ -65,18 +77,23 @@
                  return;
                }
                for (const StoredItem &Item : Reply.Items) {
-                 const std::uint64_t Number = std::stoull(
-                     Item.Key.substr(KeyPrefix.size()), nullptr, HexBase);
+                 const auto Number = recordNumber(Item.Key);
+                 if (!Number) {
+                   Log.write(LogLevel::Warning, "journal-key-unreadable",
+                             {{"key", Item.Key},
+                              {"why", "it does not end with a number"}});
+                   continue;
+                 }
                  const auto Events = jobs::decodeEvents(Item.Value);
                  if (!Events.ok()) {
                    Callback(Events.status());
                    return;
                  }
                  for (const jobs::JobEvent &Event : *Events) {
-                   Table.apply(Event, Number);
+                   Table.apply(Event, *Number);
                  }
-                 OldestNumber = OldestNumber == 0 ? Number : OldestNumber;
-                 NextNumber = Number + 1;
+                 OldestNumber = OldestNumber == 0 ? *Number : OldestNumber;
+                 NextNumber = *Number + 1;
                }
                if (Reply.HasMore && !Reply.Items.empty()) {
                  loadPage(Table, Reply.Items.back().Key, Callback);
--- a/Source/Control/include/balsamlatch/Control/HostController.h
+++ b/Source/Control/include/balsamlatch/Control/HostController.h
@@ -43,11 +43,14 @@
   void tick();
   void listHosts();
   void scheduleList();
-  void loadStoredValues(const std::string &Prefix,
+  /// Reads the values below the prefix, page by page from \p AfterKey on.
+  void loadStoredValues(const std::string &Prefix, const std::string &AfterKey,
                         std::function<void()> Callback);
   void saveProgress();
   void writeIfChanged(const std::string &Key, const std::string &Value);
   void addOpenWaves();
+  /// Hands the orders that the previous leader recorded to the scheduler.
+  void adoptRecentOrders();
   void resumeWave(const dispatch::WaveRequest &Wave);
   void recordOrders();
   void sendOrder(const dispatch::HostOrder &Order);
@@ -61,6 +64,7 @@
   HostPort &Hosts;
   JobController &LocalController;
   WaveReportFormat WaveReports;
+  const Duration HandoverDelay;
   dispatch::HostScheduler Scheduler;
   std::shared_ptr<const dispatch::Deployment> Config;
   std::vector<dispatch::WaveRequest> Waves;
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -355,8 +355,10 @@
   TaskRef Peer = EndedMember;
   for (Peer.Index = 0; Peer.Index < Job->spec().Steps[EndedMember.Step].Count;
        ++Peer.Index) {
-    const TaskRecord &PeerRecord = *Job->find(Peer);
-    RunState *PeerRun = findRun(PeerRecord.Worker.Id, Peer, Run);
+    const TaskRecord *PeerRecord = Job->find(Peer);
+    RunState *PeerRun = PeerRecord == nullptr
+                            ? nullptr
+                            : findRun(PeerRecord->Worker.Id, Peer, Run);
     if (PeerRun != nullptr && Peer != EndedMember) {
       PeerRun->StopRequested = true;
     }
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -106,12 +106,7 @@
     std::vector<WaitingStep> &Candidates) const {
   const WallTime Now = Time.wallNow();
   const auto MeanIt = MeanWorkByQueue.find(JobQueue.Name);
-  for (unsigned Occurrence = 0; Occurrence < ParentJob.spec().occurrenceCount();
-       ++Occurrence) {
-    if (ParentJob.spec().RunSchedule.Repeats > 0 &&
-        ParentJob.dueTime(Occurrence) > Now) {
-      break;
-    }
+  for (const unsigned Occurrence : ParentJob.dueOccurrences(Now)) {
     const auto OccurrenceIt = ParentJob.Record.Occurrences.find(Occurrence);
     std::optional<Rank> JobRank;
     for (unsigned Step = 0; Step < ParentJob.spec().Steps.size(); ++Step) {
--- a/Source/Dispatch/HostMoves.cpp
+++ b/Source/Dispatch/HostMoves.cpp
@@ -67,9 +67,7 @@
                                          : JobQueue->Pool];
     const bool IsNew = Now - Job.Record.Accepted.AcceptedAt < ArrivalWindow;
     const std::int64_t Weight = IsNew ? 1 + ExpectedArrivalsPerJob : 1;
-    for (unsigned Occurrence = 0; Occurrence < Job.spec().occurrenceCount() &&
-                                  Job.dueTime(Occurrence) <= Now + DueLookahead;
-         ++Occurrence) {
+    for (const unsigned Occurrence : Job.dueOccurrences(Now + DueLookahead)) {
       for (unsigned Step = 0; Step < Job.spec().Steps.size(); ++Step) {
         addDemand(Job, Occurrence, Step, Weight, Demand);
       }
--- a/Source/Dispatch/JobRank.cpp
+++ b/Source/Dispatch/JobRank.cpp
@@ -16,6 +16,9 @@
 constexpr double BaseValue = 0.3;
 constexpr double MaxValue = 4;
 
+/// Keeps multiples of an objective representable.
+constexpr Duration MaxObjective = std::chrono::hours(24 * 365 * 300);
+
 double taskWork(const jobs::StepSpec &Step) {
   const double Seconds =
       std::chrono::duration<double>(Step.EstimatedRunTime).count();
@@ -82,8 +85,10 @@
   }
   const Duration Age = Now - Result.DueAt;
   const auto Objective = std::chrono::duration_cast<Duration>(
-      estimatedCriticalPath(Job.spec()) * JobQueue.Stretch +
-      JobQueue.LatencyObjective);
+      std::min<std::chrono::duration<double, Duration::period>>(
+          estimatedCriticalPath(Job.spec()) * JobQueue.Stretch +
+              JobQueue.LatencyObjective,
+          MaxObjective));
   if (Age + WorkLeft.CriticalPath <= Objective) {
     Result.JobClass = Rank::OnTime;
   } else if (Age + WorkLeft.CriticalPath <= Objective * LateObjectiveFactor) {
--- a/Source/Http/Connection.cpp
+++ b/Source/Http/Connection.cpp
@@ -252,15 +252,23 @@
   const auto Answer = std::make_shared<ReplySlot>(
       weak_from_this(), Channel.socket().get_executor(), RequestNumber);
   Slot = Answer;
-  Set->OnRequest({std::move(Message),
-                  [Answer](Response Text) { Answer->reply(std::move(Text)); },
-                  [Weak = weak_from_this(), N = RequestNumber](Abandoned Tell) {
-                    const std::shared_ptr<Connection> Self = Weak.lock();
-                    if (Self && Self->State == Phase::Handling &&
-                        Self->RequestNumber == N) {
-                      Self->OnAbandoned = std::move(Tell);
-                    }
-                  }});
+  const auto SetAbandoned = [Weak = weak_from_this(),
+                             N = RequestNumber](Abandoned Tell) {
+    const std::shared_ptr<Connection> Self = Weak.lock();
+    if (Self && Self->State == Phase::Handling && Self->RequestNumber == N) {
+      Self->OnAbandoned = std::move(Tell);
+    }
+  };
+  try {
+    Set->OnRequest({std::move(Message),
+                    [Answer](Response Text) { Answer->reply(std::move(Text)); },
+                    SetAbandoned});
+  } catch (const std::exception &Error) {
+    if (Set->Options.OnHandlerError) {
+      Set->Options.OnHandlerError(Error.what());
+    }
+    Answer->reply(jsonResponse(500, errorBody("the request failed")));
+  }
 }
 
 void Connection::fail(const boost::system::error_code &Error) {
--- a/Source/Http/include/balsamlatch/Http/Server.h
+++ b/Source/Http/include/balsamlatch/Http/Server.h
@@ -14,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 namespace balsamlatch::http {
 
@@ -46,6 +47,9 @@
   /// Time for a whole request to arrive, and for an idle connection.
   Duration ReadTimeout = std::chrono::seconds(30);
   Duration WriteTimeout = std::chrono::seconds(30);
+  /// Called with the message of an exception that a handler has thrown. The
+  /// caller gets 500 unless the handler has already responded.
+  std::function<void(std::string_view)> OnHandlerError;
   /// PEM files; empty for plain HTTP.
   std::string CertificateFile;
   std::string PrivateKeyFile;
--- a/Source/Jobs/JobSpec.cpp
+++ b/Source/Jobs/JobSpec.cpp
@@ -22,11 +22,19 @@
                                  Step.Count, MaxTasksPerJob));
   }
   const Resources &Requested = Step.RequestedResources;
-  if (Requested.CpuMilli < 0 || Requested.MemoryMb < 0 || Requested.Gpus < 0) {
-    return stepError(StepIndex, "requests a negative amount of a resource");
+  for (const std::int64_t Amount :
+       {Requested.CpuMilli, Requested.MemoryMb, Requested.Gpus}) {
+    if (Amount < 0 || Amount > MaxResourceAmount) {
+      return stepError(
+          StepIndex,
+          fmt::format("requests {} of a resource; 0 to {} are allowed", Amount,
+                      MaxResourceAmount));
+    }
   }
-  if (Step.EstimatedRunTime < Duration::zero()) {
-    return stepError(StepIndex, "has a negative estimate");
+  if (Step.EstimatedRunTime < Duration::zero() ||
+      Step.EstimatedRunTime > MaxEstimatedRunTime) {
+    return stepError(StepIndex, "has an estimate that is negative or longer "
+                                "than a year");
   }
   for (const unsigned Dependency : Step.PrerequisiteSteps) {
     if (Dependency >= StepIndex) {
@@ -39,6 +47,27 @@
   return absl::OkStatus();
 }
 
+absl::Status validateSchedule(const Schedule &RunSchedule) {
+  if (RunSchedule.Repeats == 0) {
+    return absl::OkStatus();
+  }
+  if (RunSchedule.Repeats > MaxOccurrencesPerJob) {
+    return absl::InvalidArgumentError(
+        fmt::format("the schedule repeats the job {} times; {} are allowed",
+                    RunSchedule.Repeats, MaxOccurrencesPerJob));
+  }
+  if (RunSchedule.Interval < Duration::zero()) {
+    return absl::InvalidArgumentError("the schedule's interval is negative");
+  }
+  if (RunSchedule.First < WallTime() || RunSchedule.First > MaxScheduledTime ||
+      RunSchedule.Interval >
+          (MaxScheduledTime - RunSchedule.First) / RunSchedule.Repeats) {
+    return absl::InvalidArgumentError(
+        "the schedule begins before 1970 or ends after 2269");
+  }
+  return absl::OkStatus();
+}
+
 } // namespace
 
 bool JobSpec::hasLongRunningStep() const {
@@ -70,11 +99,7 @@
     return absl::InvalidArgumentError(fmt::format(
         "the job has {} tasks; {} are allowed", TaskCount, MaxTasksPerJob));
   }
-  if (Spec.RunSchedule.Repeats > 0 &&
-      Spec.RunSchedule.Interval < Duration::zero()) {
-    return absl::InvalidArgumentError("the schedule's interval is negative");
-  }
-  return absl::OkStatus();
+  return validateSchedule(Spec.RunSchedule);
 }
 
 Duration estimatedCriticalPath(const JobSpec &Spec) {
--- a/Source/Jobs/JobTable.cpp
+++ b/Source/Jobs/JobTable.cpp
@@ -24,6 +24,25 @@
   return Occurrence;
 }
 
+bool isComplete(const OccurrenceRecord &Occurrence) {
+  return std::all_of(
+      Occurrence.begin(), Occurrence.end(), [](const StepRecord &Tasks) {
+        return std::all_of(Tasks.begin(), Tasks.end(),
+                           [](const TaskRecord &Task) {
+                             return Task.Phase == TaskPhase::Done;
+                           });
+      });
+}
+
+void advanceFirstOpenOccurrence(Job &ParentJob) {
+  auto It = ParentJob.Record.Occurrences.find(ParentJob.FirstOpenOccurrence);
+  while (It != ParentJob.Record.Occurrences.end() &&
+         It->first == ParentJob.FirstOpenOccurrence && isComplete(It->second)) {
+    ++ParentJob.FirstOpenOccurrence;
+    ++It;
+  }
+}
+
 std::uint64_t countTasks(const JobSpec &Spec) {
   std::uint64_t Count = 0;
   for (const StepSpec &Step : Spec.Steps) {
@@ -133,6 +152,21 @@
              : RunSchedule.First + RunSchedule.Interval * Occurrence;
 }
 
+std::vector<unsigned> Job::dueOccurrences(WallTime Now) const {
+  std::vector<unsigned> Due;
+  for (unsigned Occurrence = FirstOpenOccurrence;
+       Occurrence < spec().occurrenceCount() &&
+       Due.size() < MaxPlannedOccurrences &&
+       (spec().RunSchedule.Repeats == 0 || dueTime(Occurrence) <= Now);
+       ++Occurrence) {
+    const auto It = Record.Occurrences.find(Occurrence);
+    if (It == Record.Occurrences.end() || !isComplete(It->second)) {
+      Due.push_back(Occurrence);
+    }
+  }
+  return Due;
+}
+
 const TaskRecord *Job::find(const TaskRef &Task) const {
   const auto It = Record.Occurrences.find(Task.Occurrence);
   if (It == Record.Occurrences.end() || Task.Step >= It->second.size() ||
@@ -277,6 +311,9 @@
   if (Step.Gang && IsTaskDone) {
     completeGang(Members, *ParentJob);
   }
+  if (IsTaskDone) {
+    advanceFirstOpenOccurrence(*ParentJob);
+  }
 }
 
 void JobTable::applyEvent(const CheckpointSaved &Event,
@@ -324,6 +361,7 @@
       }
     }
   }
+  advanceFirstOpenOccurrence(RestoredJob);
   adjustPendingCount(RestoredJob, 1);
 }
 
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -76,6 +76,15 @@
   std::size_t Position = 0;
 };
 
+/// Reads an enumerator. Values beyond \p Last throw.
+template <typename EnumT> EnumT readEnum(ItemReader &Reader, EnumT Last) {
+  const auto Value = Reader.number<int>();
+  if (Value < 0 || Value > static_cast<int>(Last)) {
+    throw std::out_of_range(absl::StrCat("no such enumerator: ", Value));
+  }
+  return static_cast<EnumT>(Value);
+}
+
 StepSpec readStep(const json::value &Value) {
   ItemReader Reader(Value);
   StepSpec Step;
@@ -109,6 +118,11 @@
   Spec.Text = Reader.text();
   for (const json::value &Step : Reader.next().as_array()) {
     Spec.Steps.push_back(readStep(Step));
+    for (const unsigned Dependency : Spec.Steps.back().PrerequisiteSteps) {
+      if (Dependency >= Spec.Steps.size() - 1) {
+        throw std::out_of_range("a step depends on itself or a later step");
+      }
+    }
   }
   Spec.RunSchedule.Repeats = Reader.number<unsigned>();
   Spec.RunSchedule.First = WallTime(Duration(Reader.number<std::int64_t>()));
@@ -167,7 +181,7 @@
 TaskRecord readTaskRecord(const json::value &Value) {
   ItemReader Reader(Value);
   TaskRecord Task;
-  Task.Phase = static_cast<TaskPhase>(Reader.number<int>());
+  Task.Phase = readEnum(Reader, TaskPhase::Done);
   Task.Run = Reader.number<std::uint32_t>();
   Task.Failures = Reader.number<std::uint32_t>();
   Task.LastFailedRun = Reader.number<std::uint32_t>();
@@ -198,12 +212,25 @@
           std::move(Occurrences)};
 }
 
+/// Throws unless the records match the steps of the specification.
+void checkOccurrence(const JobSpec &Spec, unsigned OccurrenceIndex,
+                     const OccurrenceRecord &Occurrence) {
+  bool Matches = Occurrence.size() == Spec.Steps.size();
+  for (std::size_t Step = 0; Matches && Step < Occurrence.size(); ++Step) {
+    Matches = Occurrence[Step].size() <= Spec.Steps[Step].Count;
+  }
+  if (!Matches) {
+    throw std::out_of_range(absl::StrCat("occurrence ", OccurrenceIndex,
+                                         " does not match its job's steps"));
+  }
+}
+
 JobSnapshot readSnapshot(ItemReader &Reader) {
   JobSnapshot Event;
   ItemReader AcceptedReader(Reader.next());
   AcceptedReader.next();
   Event.Accepted = readAccepted(AcceptedReader);
-  Event.State = static_cast<JobState>(Reader.number<int>());
+  Event.State = readEnum(Reader, JobState::Cancelled);
   Event.ClosedAt = WallTime(Duration(Reader.number<std::int64_t>()));
   Event.EverPlaced = Reader.next().as_bool();
   for (const json::value &OccurrenceItem : Reader.next().as_array()) {
@@ -216,6 +243,7 @@
         Step.push_back(readTaskRecord(Task));
       }
     }
+    checkOccurrence(Event.Accepted.Spec, OccurrenceIndex, Steps);
   }
   return Event;
 }
@@ -263,7 +291,7 @@
     return Event;
   }
   if (Kind == 'e') {
-    const auto End = static_cast<RunOutcome>(Reader.number<int>());
+    const auto End = readEnum(Reader, RunOutcome::Refused);
     return TaskEnded{Task, Run, End, Reader.text()};
   }
   return CheckpointSaved{Task, Run, Reader.text()};
@@ -278,7 +306,7 @@
   if (Kind == "z") {
     JobClosed Event;
     Event.Job = JobId(Reader.text());
-    Event.State = static_cast<JobState>(Reader.number<int>());
+    Event.State = readEnum(Reader, JobState::Cancelled);
     Event.ClosedAt = WallTime(Duration(Reader.number<std::int64_t>()));
     return Event;
   }
--- a/Source/Jobs/include/balsamlatch/Jobs/JobSpec.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobSpec.h
@@ -20,6 +20,13 @@
 inline constexpr unsigned MaxTasksPerJob = 20'000;
 inline constexpr std::size_t MaxStepsPerJob = 256;
 inline constexpr std::size_t MaxSpecTextBytes = 4'000;
+inline constexpr unsigned MaxOccurrencesPerJob = 100'000;
+/// Maximum amount of a resource per task, in the resource's unit. Sums over all
+/// tasks of all jobs stay representable.
+inline constexpr std::int64_t MaxResourceAmount = 1'000'000'000;
+inline constexpr Duration MaxEstimatedRunTime = std::chrono::hours(24 * 365);
+/// Schedules lie between 1970 and this time.
+inline constexpr WallTime MaxScheduledTime{std::chrono::hours(24 * 365 * 300)};
 
 /// An amount of worker resources: processor time in thousandths of a core,
 /// memory in megabytes and a number of GPUs.
--- a/Source/Jobs/include/balsamlatch/Jobs/JobTable.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobTable.h
@@ -13,6 +13,10 @@
 
 namespace balsamlatch::jobs {
 
+/// Bounds the time that planning spends on one job whose schedule is far
+/// behind.
+inline constexpr std::size_t MaxPlannedOccurrences = 100;
+
 /// The state of one job, with counters derived from its tasks.
 struct Job {
   JobSnapshot Record;
@@ -23,6 +27,8 @@
   std::uint64_t OpenTasks = 0;
   /// Invariant: number of tasks that are Placed.
   unsigned PlacedTasks = 0;
+  /// Invariant: all tasks of the occurrences before this one are Done.
+  unsigned FirstOpenOccurrence = 0;
 
   const JobSpec &spec() const { return Record.Accepted.Spec; }
   const JobId &id() const { return Record.Accepted.Job; }
@@ -38,6 +44,9 @@
   /// The time at which an occurrence may start: its time in the schedule, or
   /// the acceptance time of a job without a schedule.
   WallTime dueTime(unsigned Occurrence) const;
+  /// The occurrences to plan now: those due at \p Now that have open tasks, at
+  /// most MaxPlannedOccurrences of them, the earliest first.
+  std::vector<unsigned> dueOccurrences(WallTime Now) const;
   /// The state of a task; null if it is out of range or if its occurrence has
   /// no records yet.
   const TaskRecord *find(const TaskRef &Task) const;
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -188,6 +188,14 @@
   BOOST_TEST(JobJournal.nextNumber() == 9);
 }
 
+BOOST_FIXTURE_TEST_CASE(ForeignKeysInTheJournalAreSkipped, JournalFixture) {
+  append("a");
+  Store.put("journal/notes", "[]");
+  Store.put("journal/99999999999999999999", "[]");
+  BOOST_TEST(jobsAfterLoad() == 1);
+  BOOST_TEST(JobJournal.nextNumber() == 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(AppendRetriesAfterALostReply, JournalFixture) {
   Store.RepliesToLose = 2;
   BOOST_TEST((append("a") == Journal::AppendResult::Written));
@@ -557,8 +565,11 @@
   }
   const JobReply Reply{JobReply::Refused, jobs::JobState::Failed, 7, 2s};
   BOOST_TEST((decodeReply(encodeReply(Reply)) == Reply));
-  BOOST_TEST((decodeReply(http::jsonResponse(200, "nonsense")).Outcome ==
-              JobReply::Unknown));
+  for (const char *InvalidReply :
+       {"nonsense", "[99,0,0,0]", "[0,99,0,0]", "[-1,0,0,0]", "[0]"}) {
+    BOOST_TEST((decodeReply(http::jsonResponse(200, InvalidReply)).Outcome ==
+                JobReply::Unknown));
+  }
 }
 
 BOOST_AUTO_TEST_CASE(EncodedEventsRoundTrip) {
@@ -579,5 +590,13 @@
   BOOST_REQUIRE(Decoded.ok());
   BOOST_TEST((*Decoded == Events));
   BOOST_TEST(!decodeEvents("[[\"a\"]]").ok());
+  // Enumerators that don't exist, and a step that depends on itself.
+  for (const char *InvalidEvents :
+       {R"([["z","j",9,0]])", R"([["e","j",0,0,0,1,9,""]])",
+        R"([["a","j","q","p",0,["",[[1,0,0,0,0,[0],"","",0,0,0,"",0]],0,0,0]]])",
+        R"([["a","j","q","p",0,["",[[1,0,0,0,0,[4294967295],"","",0,0,0,"",0]],)"
+        R"(0,0,0]]])"}) {
+    BOOST_TEST(!decodeEvents(InvalidEvents).ok(), InvalidEvents);
+  }
   BOOST_TEST(!decodeEvents("{").ok());
 }
--- a/Tests/Jobs/JournalCodecTest.cpp
+++ b/Tests/Jobs/JournalCodecTest.cpp
@@ -8,6 +8,9 @@
 #define BOOST_TEST_MODULE Jobs
 #include <boost/test/unit_test.hpp>
 
+#include "../Base/Mutation.h"
+
+#include "balsamlatch/Jobs/JobTable.h"
 #include "balsamlatch/Jobs/JournalCodec.h"
 
 #include <string>
@@ -231,3 +234,52 @@
 BOOST_AUTO_TEST_CASE(EachStepFlagIsEncodedAsStored) {
   BOOST_TEST(encodeSpec(expectedFlagSpec()) == StoredFlagSpec);
 }
+
+BOOST_AUTO_TEST_CASE(MutatedRecordsAreRejectedOrApplied) {
+  constexpr unsigned Seed = 20261204;
+  constexpr int MutationCount = 6000;
+  std::mt19937 Random(Seed);
+  const std::string Text(StoredEvents);
+  for (int Number = 0; Number < MutationCount; ++Number) {
+    const std::string Mutated = Number % 2 == 0
+                                    ? test::mutate(Text, Random)
+                                    : test::mutateNumber(Text, Random);
+    absl::StatusOr<std::vector<JobEvent>> Events;
+    BOOST_REQUIRE_NO_THROW(Events = decodeEvents(Mutated));
+    JobTable Table;
+    if (!Events.ok()) {
+      continue;
+    }
+    for (const JobEvent &Event : *Events) {
+      // Counts are checked when a job is accepted, not when it is read back.
+      const auto *Accepted = std::get_if<JobAccepted>(&Event);
+      if (Accepted == nullptr || validate(Accepted->Spec).ok()) {
+        Table.apply(Event, 1);
+      }
+    }
+    for (const auto &[Id, KnownJob] : Table.jobs()) {
+      KnownJob.maxFailures();
+      KnownJob.dueOccurrences(WallTime(100s));
+      KnownJob.snapshot();
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SchedulesFarBehindArePlannedInParts) {
+  JobSpec Spec;
+  Spec.Steps.resize(1);
+  Spec.RunSchedule = {MaxOccurrencesPerJob, WallTime(1s), 0s};
+  const JobId Job("j");
+  JobTable Table;
+  Table.apply(JobAccepted{Job, QueueName("q"), PoolName("p"), Spec, {}}, 1);
+  BOOST_TEST(Table.find(Job)->dueOccurrences(WallTime(0s)).empty());
+  BOOST_TEST(Table.find(Job)->dueOccurrences(WallTime(2s)).size() ==
+             MaxPlannedOccurrences);
+  for (const unsigned Occurrence : {1U, 0U}) {
+    const TaskRef Task{Job, Occurrence, 0, 0};
+    Table.apply(TaskPlaced{Task, 1, {"w", 5}}, 2);
+    Table.apply(TaskEnded{Task, 1, RunOutcome::Done, ""}, 3);
+    BOOST_TEST(Table.find(Job)->dueOccurrences(WallTime(2s)).front() ==
+               (Occurrence == 1 ? 0U : 2U));
+  }
+}
--- a/Tests/Platform/HttpTest.cpp
+++ b/Tests/Platform/HttpTest.cpp
@@ -265,3 +265,29 @@
     }
   }
 }
+
+BOOST_AUTO_TEST_CASE(AHandlersExceptionIsAnswered500AndReported) {
+  Loop On;
+  std::vector<std::string> Errors;
+  http::ServerOptions Options;
+  Options.OnHandlerError = [&Errors](std::string_view Message) {
+    Errors.emplace_back(Message);
+  };
+  http::Server Server(On.Context, Options, [](const http::Exchange &Exchange) {
+    if (Exchange.Message.path() == "/odd") {
+      throw std::runtime_error("odd request");
+    }
+    Exchange.Respond({});
+  });
+  BOOST_REQUIRE(Server.start().ok());
+  http::Client Client(On.Context, {});
+  const http::Outcome Failed =
+      callAndWait(On, Client, Server.port(), post("/odd", ""));
+  BOOST_TEST(Failed.Status.ok());
+  BOOST_TEST(Failed.Answer.Status == 500U);
+  BOOST_TEST(
+      callAndWait(On, Client, Server.port(), post("/", "")).Answer.Status ==
+      200U);
+  On.join();
+  BOOST_TEST((Errors == std::vector<std::string>{"odd request"}));
+}
--- a/Tests/Platform/MutationTest.cpp
+++ b/Tests/Platform/MutationTest.cpp
@@ -5,6 +5,7 @@
 #define BOOST_TEST_MODULE Mutation
 #include <boost/test/unit_test.hpp>
 
+#include "../Base/Mutation.h"
 #include "Loop.h"
 #include "balsamlatch/Platform/PlatformCodec.h"
 
@@ -20,34 +21,6 @@
 constexpr int Mutations = 10'000;
 constexpr int HttpMutations = 10'000;
 
-/// Changes, inserts, removes or repeats some bytes.
-std::string mutate(std::string Text, std::mt19937 &Random) {
-  const auto Below = [&Random](std::size_t Bound) {
-    return std::uniform_int_distribution<std::size_t>(0, Bound - 1)(Random);
-  };
-  for (std::size_t Left = 1 + Below(4); Left > 0 && !Text.empty(); --Left) {
-    const std::size_t At = Below(Text.size());
-    switch (Below(5)) {
-    case 0:
-      Text[At] = static_cast<char>(Below(256));
-      break;
-    case 1:
-      Text.insert(At, 1, static_cast<char>(Below(256)));
-      break;
-    case 2:
-      Text.erase(At, 1 + Below(8));
-      break;
-    case 3:
-      Text.insert(At, Text.substr(At, 1 + Below(16)));
-      break;
-    default:
-      Text.resize(At);
-      break;
-    }
-  }
-  return Text;
-}
-
 /// Whether what is decoded, if anything, is encoded and decoded to the same.
 template <typename Decode, typename Encode>
 bool staysEqual(const std::string &Text, Decode Read, Encode Write) {
