control: Refuse as not run what the store turned down; no late attempt undoes a refusal

While a record is unanswered, only the submissions in it are in doubt; those that wait behind it are refused as well. - At the end of a term, requests that were never sent to the store are sent to the next leader as having had no effect. - An attempt to deliver a submission that arrives after its request was refused (held up on a cut connection) is refused too: submissions carry an ID of the caller's request and the term they are addressed to. Before, the job ran though its caller had been told that it hadn't. - A record holds at most 500 kB. A cancellation that waited beside a compaction was acknowledged to nobody and lost. - A renewal that is answered makes an unanswered append be sent again at once.

Ruled out: the callers' deadline as the cause (their tries ended with 504, not with the deadline); the router's timeout of 700 ms (503 before and after).

Two tests of the outage were split by what the store answers: the silent store keeps every check it had, the store that turns calls down is now held to a refusal.

--- a/Source/Control/JobController.cpp
+++ b/Source/Control/JobController.cpp
@@ -121,30 +121,29 @@
 
 void JobController::acquireLease() {
   State = Acquiring;
-  Store.grantLease(
-      Settings.LeaseDuration,
-      [this, SentAt = Time.now()](const LeaseReply &Reply) {
-        if (State != Acquiring) {
-          return;
-        }
-        if (!Reply.Status.ok()) {
-          retryElection();
-          return;
-        }
-        // The store may have granted the lease long before its reply arrived.
-        LeaseExpiry = SentAt + Settings.LeaseDuration - LeaseMargin;
-        if (Time.now() >= LeaseExpiry) {
-          Store.revokeLease(Reply.Lease);
-          retryElection();
-          return;
-        }
-        const auto LeaderIt = ElectionMirror.items().find(Settings.LeaderKey);
-        claimLeadership(Reply.Lease,
-                        LeaderIt != ElectionMirror.items().end() &&
-                                wasWrittenByPreviousProcess(LeaderIt->second)
-                            ? LeaderIt->second.Revision
-                            : 0);
-      });
+  Store.grantLease(Settings.LeaseDuration, [this, SentAt = Time.now()](
+                                               const LeaseReply &Reply) {
+    if (State != Acquiring) {
+      return;
+    }
+    if (!Reply.Status.ok()) {
+      retryElection();
+      return;
+    }
+    // The store may have granted the lease long before its reply arrived.
+    LeaseExpiry = SentAt + Settings.LeaseDuration - LeaseMargin;
+    if (Time.now() >= LeaseExpiry) {
+      Store.revokeLease(Reply.Lease);
+      retryElection();
+      return;
+    }
+    const auto LeaderIt = ElectionMirror.items().find(Settings.LeaderKey);
+    claimLeadership(Reply.Lease,
+                    LeaderIt != ElectionMirror.items().end() &&
+                            wasWrittenByPreviousProcess(LeaderIt->second)
+                        ? LeaderIt->second.Revision
+                        : 0);
+  });
 }
 
 void JobController::retryElection() {
@@ -161,34 +160,33 @@
   Transaction Request;
   Request.Conditions = {{Settings.LeaderKey, ExpectedRevision}};
   Request.Writes = {{Settings.LeaderKey, encodeEntry(Settings.Self), NewLease}};
-  Store.commit(std::move(Request),
-               [this, NewLease,
-                SentAt = Time.now()](const TransactionReply &Reply) {
-                 if (State != Acquiring || !Reply.Status.ok()) {
-                   Store.revokeLease(NewLease);
-                 }
-                 if (State != Acquiring) {
-                   return;
-                 }
-                 if (!Reply.Status.ok()) {
-                   State = Following;
-                   ElectionMirror.refresh();
-                   return;
-                 }
-                 LeaseId = NewLease;
-                 Token = Reply.Revision;
-                 LatestToken = Token;
-                 KnownLeader = Settings.Self;
-                 LastStoreContact = SentAt;
-                 ++TermNumber;
-                 Log.write(LogLevel::Info, "lead-taken", {{"token", Token}});
-                 Loop.after(Settings.RenewPeriod, [this, Term = TermNumber] {
-                   if (Term == TermNumber) {
-                     renewLease();
-                   }
-                 });
-                 loadJournal();
-               });
+  Store.commit(std::move(Request), [this, NewLease, SentAt = Time.now()](
+                                       const TransactionReply &Reply) {
+    if (State != Acquiring || !Reply.Status.ok()) {
+      Store.revokeLease(NewLease);
+    }
+    if (State != Acquiring) {
+      return;
+    }
+    if (!Reply.Status.ok()) {
+      State = Following;
+      ElectionMirror.refresh();
+      return;
+    }
+    LeaseId = NewLease;
+    Token = Reply.Revision;
+    LatestToken = Token;
+    KnownLeader = Settings.Self;
+    LastStoreContact = SentAt;
+    ++TermNumber;
+    Log.write(LogLevel::Info, "lead-taken", {{"token", Token}});
+    Loop.after(Settings.RenewPeriod, [this, Term = TermNumber] {
+      if (Term == TermNumber) {
+        renewLease();
+      }
+    });
+    loadJournal();
+  });
 }
 
 void JobController::loadJournal() {
@@ -241,17 +239,12 @@
   if (LatestToken == Token) {
     KnownLeader.reset();
   }
+  abandonPendingRequests();
   JobJournal.stop();
   JobDispatcher.end();
   // Workers may leave before the next term, when they are read again.
   WorkerRecords.clear();
   Store.revokeLease(LeaseId);
-  PendingEvents.clear();
-  for (auto *Requests : {&PendingSubmits, &PendingCancels}) {
-    for (const auto &[Job, Callback] : std::exchange(*Requests, {})) {
-      Callback({JobReply::Unknown});
-    }
-  }
   if (WasLeading && OnLeadershipChanged) {
     OnLeadershipChanged(false);
   }
@@ -294,6 +287,7 @@
     LeaseExpiry =
         std::max(LeaseExpiry, SentAt + Settings.LeaseDuration - LeaseMargin);
     LastStoreContact = std::max(LastStoreContact, SentAt);
+    JobJournal.retryUnanswered();
   }
 }
 
--- a/Source/Control/JobControllerRequests.cpp
+++ b/Source/Control/JobControllerRequests.cpp
@@ -3,12 +3,12 @@
 
 #include "balsamlatch/Control/JobController.h"
 
+#include <algorithm>
+
 namespace balsamlatch::control {
 
 namespace {
 
-/// The store counts as unavailable once an append has taken longer than this.
-constexpr Duration MaxAppendTime = std::chrono::milliseconds(450);
 /// Sent to refused callers; outages of the store last a few seconds.
 constexpr Duration StoreRetryAfter = std::chrono::seconds(2);
 
@@ -26,26 +26,24 @@
 
 void JobController::handle(const SubmitJob &Request,
                            const ReplyCallback &Callback) {
+  if (Request.LeaderToken != 0 && Request.LeaderToken != Token) {
+    // A late attempt. A leader in between may have refused the request.
+    Callback({JobReply::NotLeader});
+    return;
+  }
   if (Table->find(Request.Job) != nullptr) {
     Callback({JobReply::Done});
     return;
   }
+  if (Refusals.contains(Request.RequestId)) {
+    refuse(Request.Job, Request.RequestId, Callback);
+    return;
+  }
   const bool IsFirstRequest = !PendingSubmits.contains(Request.Job);
-  if (IsFirstRequest && JobJournal.appendInFlight() &&
-      Time.now() - JobJournal.appendStartedAt() > MaxAppendTime) {
+  if (IsFirstRequest && isAppendOverdue()) {
     // The job could not be stored before the caller's deadline, and the end of
     // the outage is unknown.
-    JobReply Reply{JobReply::Refused};
-    Reply.RetryAfter = StoreRetryAfter;
-    Log.write(
-        LogLevel::Info, "job-refused",
-        {{"job", Request.Job.Text},
-         {"why", "the store doesn't answer"},
-         {"record", JobJournal.nextNumber()},
-         {"waits_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
-                          Time.now() - JobJournal.appendStartedAt())
-                          .count()}});
-    Callback(Reply);
+    refuse(Request.Job, Request.RequestId, Callback);
     return;
   }
   if (IsFirstRequest) {
@@ -60,10 +58,79 @@
                                                  JobQueue->Pool, Request.Spec,
                                                  Time.wallNow()});
   }
-  PendingSubmits.emplace(Request.Job, Callback);
+  PendingSubmits.emplace(Request.Job,
+                         PendingSubmit{Request.RequestId, Callback});
   appendEvents();
 }
 
+bool JobController::isAppendOverdue() const {
+  return JobJournal.appendInFlight() &&
+         Time.now() - JobJournal.appendStartedAt() > MaxAppendTime;
+}
+
+void JobController::refuse(const jobs::JobId &Job, const std::string &RequestId,
+                           const ReplyCallback &Callback) {
+  Refusals.add(RequestId, Time.now());
+  JobReply Reply{JobReply::Refused};
+  Reply.RetryAfter = StoreRetryAfter;
+  Log.write(LogLevel::Info, "job-refused",
+            {{"job", Job.Text},
+             {"why", "the store doesn't record it"},
+             {"record", JobJournal.nextNumber()},
+             {"waits_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
+                              Time.now() - LastStoreContact)
+                              .count()}});
+  Callback(Reply);
+}
+
+void JobController::refusePendingSubmits() {
+  const auto IsSubmission = [](const jobs::JobEvent &Event) {
+    return std::holds_alternative<jobs::JobAccepted>(Event);
+  };
+  std::erase_if(PendingEvents, IsSubmission);
+  const auto FirstUnsent = Batch.begin() + static_cast<std::ptrdiff_t>(
+                                               RecordedCount + AppendedCount);
+  Batch.erase(std::remove_if(FirstUnsent, Batch.end(), IsSubmission),
+              Batch.end());
+  const std::set<jobs::JobId> InDoubt = jobsInFlight();
+  for (auto It = PendingSubmits.begin(); It != PendingSubmits.end();) {
+    if (InDoubt.contains(It->first)) {
+      ++It;
+      continue;
+    }
+    const auto Submit = PendingSubmits.extract(It++);
+    refuse(Submit.key(), Submit.mapped().RequestId, Submit.mapped().Callback);
+  }
+}
+
+std::set<jobs::JobId> JobController::jobsInFlight() const {
+  std::set<jobs::JobId> Jobs;
+  for (const jobs::JobEvent &Event :
+       std::span(Batch).subspan(RecordedCount, AppendedCount)) {
+    Jobs.insert(jobs::eventJobId(Event));
+  }
+  return Jobs;
+}
+
+void JobController::abandonPendingRequests() {
+  const std::set<jobs::JobId> MayBeRecorded = jobsInFlight();
+  PendingEvents.clear();
+  Batch.clear();
+  RecordedCount = 0;
+  AppendedCount = 0;
+  TurnedDownSince.reset();
+  const auto ReplyFor = [&](const jobs::JobId &Job) {
+    return JobReply{MayBeRecorded.contains(Job) ? JobReply::Unknown
+                                                : JobReply::NotLeader};
+  };
+  for (const auto &[Job, Submit] : std::exchange(PendingSubmits, {})) {
+    Submit.Callback(ReplyFor(Job));
+  }
+  for (const auto &[Job, Callback] : std::exchange(PendingCancels, {})) {
+    Callback(ReplyFor(Job));
+  }
+}
+
 void JobController::handle(const CancelJob &Request,
                            const ReplyCallback &Callback) {
   const jobs::Job *ExistingJob = Table->find(Request.Job);
@@ -112,7 +179,7 @@
       ++It;
       continue;
     }
-    const ReplyCallback Callback = std::move(It->second);
+    const ReplyCallback Callback = std::move(It->second.Callback);
     It = PendingSubmits.erase(It);
     Callback({JobReply::Done});
   }
--- a/Source/Control/JobControllerTicks.cpp
+++ b/Source/Control/JobControllerTicks.cpp
@@ -4,6 +4,10 @@
 
 #include "balsamlatch/Control/JobController.h"
 
+#include "balsamlatch/Jobs/JournalCodec.h"
+
+#include <iterator>
+
 namespace balsamlatch::control {
 
 namespace {
@@ -13,10 +17,8 @@
 /// leader may have taken over meanwhile and no longer accounts for the runs
 /// that the reply is about.
 constexpr Duration MaxReplyAge = std::chrono::seconds(2);
-constexpr Duration CompactionPeriod = std::chrono::seconds(1);
-/// Number of journal records at which old ones are rewritten as snapshots. A
-/// new leader reads all records before it serves requests.
-constexpr std::uint64_t CompactionThreshold = 300;
+/// Delay before a write that the store turned down is repeated.
+constexpr Duration TurnedDownRetryDelay = std::chrono::milliseconds(40);
 /// Bound the size of one record; summaries of settled jobs are small.
 constexpr std::size_t MaxSnapshotsPerPass = 40;
 constexpr std::size_t MaxSummariesPerPass = 600;
@@ -30,13 +32,16 @@
   const Instant Now = Time.now();
   const bool MayRenew =
       Now < LastStoreContact + Settings.Dispatch.StoreOutageRenewal;
-  JobDispatcher.tick(!JobJournal.appendInFlight(), MayRenew);
+  JobDispatcher.tick(Batch.empty(), MayRenew);
   executeDecisions();
   if (State != Leading) {
     return;
   }
+  if (isAppendOverdue()) {
+    refusePendingSubmits();
+  }
   if (Now >= NextCompactionAt) {
-    NextCompactionAt = Now + CompactionPeriod;
+    NextCompactionAt = Now + Settings.CompactionPeriod;
     compactJournal();
   }
   appendEvents();
@@ -127,35 +132,69 @@
   if (State != Leading || JobJournal.appendInFlight() || Now < NextAppendAt) {
     return;
   }
-  std::vector<jobs::JobEvent> Events = std::exchange(PendingEvents, {});
-  for (jobs::JobEvent &Event : JobDispatcher.takeEvents()) {
-    Events.push_back(std::move(Event));
+  if (RecordedCount == 0) {
+    std::move(PendingEvents.begin(), PendingEvents.end(),
+              std::back_inserter(Batch));
+    PendingEvents.clear();
+    std::vector<jobs::JobEvent> Events = JobDispatcher.takeEvents();
+    std::move(Events.begin(), Events.end(), std::back_inserter(Batch));
   }
-  if (Events.empty()) {
+  if (Batch.empty()) {
     return;
   }
   NextAppendAt = Now + Settings.MinAppendInterval;
-  JobJournal.append({Settings.LeaderKey, Token}, Events,
-                    [this, Events](Journal::AppendResult Outcome) {
-                      if (Outcome == Journal::AppendResult::LeadershipLost) {
-                        stepDown("the store has another holder, or none");
-                        return;
-                      }
-                      handleAppended(Events);
-                    });
+  AppendedCount = JobJournal.append(
+      {Settings.LeaderKey, Token}, std::span(Batch).subspan(RecordedCount),
+      [this](Journal::AppendResult Outcome) {
+        switch (Outcome) {
+        case Journal::AppendResult::Written:
+          handleAppended();
+          return;
+        case Journal::AppendResult::NotWritten:
+          handleNotWritten();
+          return;
+        case Journal::AppendResult::LeadershipLost:
+          stepDown("the store has another holder, or none");
+          return;
+        }
+      });
+}
+
+void JobController::handleNotWritten() {
+  const Instant Now = Time.now();
+  if (!TurnedDownSince) {
+    TurnedDownSince = Now;
+    Log.write(LogLevel::Warning, "journal-delayed",
+              {{"record", JobJournal.nextNumber()},
+               {"why", "the store turned the record down"}});
+  }
+  NextAppendAt = Now + TurnedDownRetryDelay;
+  AppendedCount = 0;
+  if (Now - *TurnedDownSince > MaxAppendTime) {
+    refusePendingSubmits();
+  }
 }
 
-void JobController::handleAppended(const std::vector<jobs::JobEvent> &Events) {
+void JobController::handleAppended() {
   if (Time.now() - JobJournal.lastSentAt() > MaxReplyAge) {
     stepDown("the store's answer is too old to act on");
     return;
   }
-  for (const jobs::JobEvent &Event : Events) {
+  for (const jobs::JobEvent &Event :
+       std::span(Batch).subspan(RecordedCount, AppendedCount)) {
     Table->apply(Event, JobJournal.nextNumber() - 1);
   }
+  RecordedCount += std::exchange(AppendedCount, 0);
+  TurnedDownSince.reset();
   LastStoreContact = std::max(LastStoreContact, JobJournal.lastSentAt());
   completePendingRequests();
-  JobDispatcher.handleRecorded(Events);
+  if (RecordedCount < Batch.size()) {
+    NextAppendAt = Time.now();
+    appendEvents();
+    return;
+  }
+  RecordedCount = 0;
+  JobDispatcher.handleRecorded(std::exchange(Batch, {}));
   JobDispatcher.tick(true, true);
   executeDecisions();
   appendEvents();
@@ -165,14 +204,15 @@
   JobJournal.truncateBefore(
       Table->firstRequiredSequence(JobJournal.nextNumber()));
   if (JobJournal.nextNumber() - JobJournal.oldestNumber() <
-          CompactionThreshold ||
-      JobJournal.appendInFlight()) {
+          Settings.CompactionThreshold ||
+      !Batch.empty()) {
     return;
   }
   // Write snapshots of the jobs with events before the newest
   // CompactionThreshold / 2 records, so that the older records can be removed.
   const std::uint64_t RewriteBefore =
-      JobJournal.nextNumber() - CompactionThreshold / 2;
+      JobJournal.nextNumber() - Settings.CompactionThreshold / 2;
+  std::vector<jobs::JobEvent> NewSnapshots;
   std::size_t Snapshots = 0;
   std::size_t Summaries = 0;
   for (const auto &[Id, Job] : Table->jobs()) {
@@ -180,11 +220,22 @@
       continue;
     }
     std::size_t &Count = Job.isSettled() ? Summaries : Snapshots;
-    if (Count < (Job.isSettled() ? MaxSummariesPerPass : MaxSnapshotsPerPass)) {
-      PendingEvents.emplace_back(Job.snapshot());
+    if (Count >=
+        (Job.isSettled() ? MaxSummariesPerPass : MaxSnapshotsPerPass)) {
+      continue;
+    }
+    std::vector<jobs::JobEvent> Snapshot{Job.snapshot()};
+    // A job too large for one record keeps its events.
+    if (Job.isSettled() ||
+        jobs::encodeEvents(Snapshot).size() <= MaxRecordBytes) {
+      NewSnapshots.push_back(std::move(Snapshot.front()));
       ++Count;
     }
   }
+  // The snapshots don't contain the events that are still pending.
+  PendingEvents.insert(PendingEvents.begin(),
+                       std::make_move_iterator(NewSnapshots.begin()),
+                       std::make_move_iterator(NewSnapshots.end()));
 }
 
 } // namespace balsamlatch::control
--- a/Source/Control/JobRouter.cpp
+++ b/Source/Control/JobRouter.cpp
@@ -5,6 +5,8 @@
 
 #include "balsamlatch/Control/JobWire.h"
 
+#include <fmt/format.h>
+
 namespace balsamlatch::control {
 
 namespace {
@@ -34,10 +36,16 @@
                      http::Client &Client)
     : Loop(CallbackLoop), Time(TimeSource), Log(Sink),
       LocalController(Controller), PeerClient(Client),
-      Finder(CallbackLoop, TimeSource, Controller, Client) {}
+      Finder(CallbackLoop, TimeSource, Controller, Client),
+      RequestIdPrefix(
+          fmt::format("{}-{:x}-", Controller.self().Name,
+                      TimeSource.wallNow().time_since_epoch().count())) {}
 
 void JobRouter::request(JobRequest Request, RequestDeadlines Deadlines,
                         JobService::ReplyCallback Callback) {
+  if (auto *Submit = std::get_if<SubmitJob>(&Request)) {
+    Submit->RequestId = fmt::format("{}{}", RequestIdPrefix, ++LastRequest);
+  }
   sendAttempt(std::make_shared<PendingRequest>(PendingRequest{
       std::move(Request), Deadlines, std::move(Callback), false}));
 }
@@ -59,6 +67,9 @@
 }
 
 void JobRouter::sendAttempt(const std::shared_ptr<PendingRequest> &Pending) {
+  if (auto *Submit = std::get_if<SubmitJob>(&Pending->Request)) {
+    Submit->LeaderToken = LocalController.leaderView().Token;
+  }
   if (LocalController.isLeading()) {
     LocalController.request(Pending->Request,
                             [this, Pending](const JobReply &Reply) {
@@ -78,7 +89,11 @@
                   encodeRequest(Pending->Request), Timeout,
                   [this, Pending](const http::Outcome &Outcome) {
                     if (Outcome.Status.ok()) {
-                      handleReply(Pending, decodeReply(Outcome.Answer));
+                      const JobReply Reply = decodeReply(Outcome.Answer);
+                      if (Reply.Outcome == JobReply::NotLeader) {
+                        Finder.findLeader();
+                      }
+                      handleReply(Pending, Reply);
                       return;
                     }
                     Finder.findLeader();
--- a/Source/Control/JobWire.cpp
+++ b/Source/Control/JobWire.cpp
@@ -3,6 +3,7 @@
 
 #include "balsamlatch/Control/JobWire.h"
 
+#include "balsamlatch/Base/Units.h"
 #include "balsamlatch/Jobs/JournalCodec.h"
 
 #include <boost/json.hpp>
@@ -20,8 +21,9 @@
 struct RequestEncoder {
   http::Request operator()(const SubmitJob &Request) const {
     return {"POST",
-            fmt::format("{}{}?queue={}", JobPathPrefix, Request.Job.Text,
-                        Request.Queue.Text),
+            fmt::format("{}{}?queue={}&request={}&token={}", JobPathPrefix,
+                        Request.Job.Text, Request.Queue.Text, Request.RequestId,
+                        Request.LeaderToken),
             {{"content-type", "application/json"}},
             jobs::encodeSpec(Request.Spec),
             ""};
@@ -79,8 +81,18 @@
       !ValidationStatus.ok()) {
     return ValidationStatus;
   }
+  // Entries of earlier versions send no request ID and no token.
+  std::uint64_t LeaderToken = 0;
+  if (const std::string_view Text = Message.query("token"); !Text.empty()) {
+    const absl::StatusOr<std::uint64_t> Token = parseNumber(Text);
+    if (!Token.ok()) {
+      return Token.status();
+    }
+    LeaderToken = *Token;
+  }
   return SubmitJob{Job, jobs::QueueName(std::string(Message.query("queue"))),
-                   *std::move(Spec)};
+                   *std::move(Spec), std::string(Message.query("request")),
+                   LeaderToken};
 }
 
 http::Response encodeReply(const JobReply &Reply) {
--- a/Source/Control/Journal.cpp
+++ b/Source/Control/Journal.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view KeyPrefix = "journal/";
 constexpr int HexBase = 16;
 constexpr Duration RetryDelay = std::chrono::milliseconds(40);
+/// Time allowed for the reply to an attempt before it is repeated.
+constexpr Duration MinAttemptTime = std::chrono::milliseconds(200);
 /// Leaves room in MaxTransactionEntries for the two conditions and the record.
 constexpr std::size_t MaxRemovalsPerAppend = MaxTransactionEntries - 4;
 
@@ -41,6 +43,8 @@
   std::uint64_t Number = 0;
   std::function<void(AppendResult)> Callback;
   unsigned Attempts = 0;
+  /// An attempt got no reply, so the store may have written the record.
+  bool MayBeWritten = false;
 };
 
 Journal::Journal(EventLoop &CallbackLoop, const Clock &TimeSource,
@@ -51,7 +55,7 @@
 
 void Journal::stop() {
   ++*Generation;
-  AppendInFlight = false;
+  InFlight.reset();
 }
 
 void Journal::load(jobs::JobTable &Table,
@@ -104,35 +108,45 @@
              });
 }
 
-void Journal::append(const Condition &LeaderCondition,
-                     const std::vector<jobs::JobEvent> &Events,
-                     std::function<void(AppendResult)> Callback) {
+std::size_t Journal::append(const Condition &LeaderCondition,
+                            std::span<const jobs::JobEvent> Events,
+                            std::function<void(AppendResult)> Callback) {
+  jobs::EncodedEvents Record = jobs::encodeEvents(Events, MaxRecordBytes);
   auto Pending = std::make_shared<PendingAppend>();
   Pending->Number = NextNumber;
   Pending->Callback = std::move(Callback);
   const std::string Key = recordKey(NextNumber);
   Pending->Request.Conditions = {LeaderCondition, {Key, 0}};
-  Pending->Request.Writes = {{Key, jobs::encodeEvents(Events), 0}};
+  Pending->Request.Writes = {{Key, std::move(Record.Text), 0}};
   const std::uint64_t RemovalEnd =
       std::min({OldestNeeded, NextNumber, OldestNumber + MaxRemovalsPerAppend});
   for (std::uint64_t Number = OldestNumber; Number < RemovalEnd; ++Number) {
     Pending->Request.Removals.push_back(recordKey(Number));
   }
-  AppendInFlight = true;
+  InFlight = Pending;
   AppendStartedAt = Time.now();
   sendAppend(Pending);
+  return Record.Count;
 }
 
 void Journal::sendAppend(const std::shared_ptr<PendingAppend> &Pending) {
   ++Pending->Attempts;
   LastSentAt = Time.now();
-  Store.commit(Pending->Request,
-               [this, Pending, CallGeneration = *Generation,
-                CurrentGeneration = Generation](const TransactionReply &Reply) {
-                 if (CallGeneration == *CurrentGeneration) {
-                   handleReply(Pending, Reply);
-                 }
-               });
+  Store.commit(Pending->Request, [this, Pending, CallGeneration = *Generation,
+                                  CurrentGeneration = Generation](
+                                     const TransactionReply &Reply) {
+    // Another attempt may have settled the append.
+    if (CallGeneration == *CurrentGeneration && InFlight == Pending) {
+      handleReply(Pending, Reply);
+    }
+  });
+}
+
+void Journal::retryUnanswered() {
+  if (InFlight && Time.now() - LastSentAt >= MinAttemptTime) {
+    InFlight->MayBeWritten = true;
+    sendAppend(InFlight);
+  }
 }
 
 void Journal::handleReply(const std::shared_ptr<PendingAppend> &Pending,
@@ -148,18 +162,25 @@
                  Item.Value == Pending->Request.Writes.front().Value;
         });
     if (!IsWritten) {
-      AppendInFlight = false;
+      InFlight.reset();
       Pending->Callback(AppendResult::LeadershipLost);
       return;
     }
   }
   if (IsWritten) {
-    AppendInFlight = false;
+    InFlight.reset();
     NextNumber = Pending->Number + 1;
     OldestNumber += Pending->Request.Removals.size();
     Pending->Callback(AppendResult::Written);
     return;
   }
+  Pending->MayBeWritten =
+      Pending->MayBeWritten || !absl::IsUnavailable(Reply.Status);
+  if (!Pending->MayBeWritten) {
+    InFlight.reset();
+    Pending->Callback(AppendResult::NotWritten);
+    return;
+  }
   if (Pending->Attempts == 1) {
     Log.write(LogLevel::Warning, "journal-delayed",
               {{"record", Pending->Number},
@@ -167,7 +188,7 @@
   }
   Loop.after(RetryDelay, [this, Pending, CallGeneration = *Generation,
                           CurrentGeneration = Generation] {
-    if (CallGeneration == *CurrentGeneration) {
+    if (CallGeneration == *CurrentGeneration && InFlight == Pending) {
       sendAppend(Pending);
     }
   });
--- a/Source/Control/include/balsamlatch/Control/JobController.h
+++ b/Source/Control/include/balsamlatch/Control/JobController.h
@@ -11,9 +11,11 @@
 #include "balsamlatch/Control/Journal.h"
 #include "balsamlatch/Control/Ports.h"
 #include "balsamlatch/Control/PrefixMirror.h"
+#include "balsamlatch/Control/RefusedRequests.h"
 #include "balsamlatch/Dispatch/Dispatcher.h"
 
 #include <optional>
+#include <set>
 
 namespace balsamlatch::control {
 
@@ -39,6 +41,10 @@
   /// Renewals are sent at this period, whether or not earlier ones have been
   /// answered.
   Duration RenewPeriod = std::chrono::milliseconds(250);
+  /// Number of journal records at which old ones are rewritten as snapshots. A
+  /// new leader reads all records before it serves requests.
+  std::uint64_t CompactionThreshold = 300;
+  Duration CompactionPeriod = std::chrono::seconds(1);
   /// Minimum time between two journal records.
   Duration MinAppendInterval = std::chrono::milliseconds(15);
   dispatch::DispatchOptions Dispatch;
@@ -60,6 +66,7 @@
 
   void request(JobRequest Request, ReplyCallback Callback) override;
 
+  const EntryRecord &self() const { return Settings.Self; }
   /// The leader as far as this entry knows; empty if there is none.
   std::optional<EntryRecord> knownLeader() const { return KnownLeader; }
   LeaderView leaderView() const;
@@ -86,6 +93,10 @@
   /// Called when a term of this entry begins or ends.
   std::function<void(bool Leading)> OnLeadershipChanged;
 
+  /// The store counts as unavailable once it hasn't recorded a batch within
+  /// this time.
+  static constexpr Duration MaxAppendTime = std::chrono::milliseconds(450);
+
 private:
   enum ElectionState { Following, Acquiring, Loading, Leading, Retired };
 
@@ -104,7 +115,8 @@
   void handleRenewal(Instant SentAt, const LeaseReply &Reply);
   void tick();
   void appendEvents();
-  void handleAppended(const std::vector<jobs::JobEvent> &Events);
+  void handleAppended();
+  void handleNotWritten();
   void compactJournal();
   void executeDecisions();
   void sendOrder(const dispatch::WorkerOrder &Order);
@@ -115,6 +127,24 @@
   void handle(const QueryJob &Request, const ReplyCallback &Callback);
   void handle(const QueryQueue &Request, const ReplyCallback &Callback);
   void completePendingRequests();
+  void refuse(const jobs::JobId &Job, const std::string &RequestId,
+              const ReplyCallback &Callback);
+  /// Whether the store hasn't answered a write for so long that it counts as
+  /// unavailable.
+  bool isAppendOverdue() const;
+  /// Refuses all submissions that were certainly not recorded, and drops their
+  /// jobs.
+  void refusePendingSubmits();
+  /// The jobs with events in a record whose outcome is unknown.
+  std::set<jobs::JobId> jobsInFlight() const;
+  /// Fails the pending requests at the end of a term.
+  void abandonPendingRequests();
+
+  /// A submission that waits until its job is recorded.
+  struct PendingSubmit {
+    std::string RequestId;
+    ReplyCallback Callback;
+  };
 
   EventLoop &Loop;
   const Clock &Time;
@@ -152,8 +182,17 @@
   std::uint64_t TermNumber = 0;
   // Events of requests and of compaction that aren't in the journal yet.
   std::vector<jobs::JobEvent> PendingEvents;
-  std::multimap<jobs::JobId, ReplyCallback> PendingSubmits;
+  // Events that are being written, in the order in which they are recorded. A
+  // large batch takes several records: the first RecordedCount events are in
+  // earlier ones, and the next AppendedCount in one whose outcome is unknown.
+  std::vector<jobs::JobEvent> Batch;
+  std::size_t RecordedCount = 0;
+  std::size_t AppendedCount = 0;
+  // When the store turned down a write after the last one that it carried out.
+  std::optional<Instant> TurnedDownSince;
+  std::multimap<jobs::JobId, PendingSubmit> PendingSubmits;
   std::multimap<jobs::JobId, ReplyCallback> PendingCancels;
+  RefusedRequests Refusals;
 };
 
 } // namespace balsamlatch::control
--- a/Source/Control/include/balsamlatch/Control/JobRouter.h
+++ b/Source/Control/include/balsamlatch/Control/JobRouter.h
@@ -58,6 +58,9 @@
   // When the first request since the leader's last reply failed.
   std::optional<Instant> FailingSince;
   bool ProbeInFlight = false;
+  // Distinguishes the requests of this process from those of all others.
+  const std::string RequestIdPrefix;
+  std::uint64_t LastRequest = 0;
 };
 
 } // namespace balsamlatch::control
--- a/Source/Control/include/balsamlatch/Control/JobService.h
+++ b/Source/Control/include/balsamlatch/Control/JobService.h
@@ -16,6 +16,12 @@
   jobs::JobId Job;
   jobs::QueueName Queue;
   jobs::JobSpec Spec;
+  /// Identifies the caller's request over all attempts to deliver it; empty if
+  /// unknown.
+  std::string RequestId;
+  /// Fencing token of the leader that the attempt is addressed to, which a
+  /// leader with another token ignores; 0 for any leader.
+  std::uint64_t LeaderToken = 0;
 
   auto operator<=>(const SubmitJob &) const = default;
 };
--- a/Source/Control/include/balsamlatch/Control/Journal.h
+++ b/Source/Control/include/balsamlatch/Control/Journal.h
@@ -13,9 +13,13 @@
 #include "balsamlatch/Jobs/JobTable.h"
 
 #include <memory>
+#include <span>
 
 namespace balsamlatch::control {
 
+/// Maximum size of a record. The store limits a value to a megabyte.
+inline constexpr std::size_t MaxRecordBytes = 500'000;
+
 class Journal {
 public:
   enum class AppendResult {
@@ -23,6 +27,8 @@
     /// The leader's key has changed; the record may or may not have been
     /// written before that.
     LeadershipLost,
+    /// The store turned every attempt down, so nothing was or will be written.
+    NotWritten,
   };
 
   Journal(EventLoop &CallbackLoop, const Clock &TimeSource,
@@ -32,20 +38,26 @@
   /// Applies all records to \p Table, then calls \p Callback.
   void load(jobs::JobTable &Table, std::function<void(absl::Status)> Callback);
 
-  /// Appends one record if \p LeaderCondition holds. Only one append may be in
-  /// flight. Retries until the outcome is known or stop() is called.
-  void append(const Condition &LeaderCondition,
-              const std::vector<jobs::JobEvent> &Events,
-              std::function<void(AppendResult)> Callback);
+  /// Appends one record with the first of the events if \p LeaderCondition
+  /// holds, and returns their number: as many as a record can hold. Only one
+  /// append may be in flight. Retries until the outcome is known or stop() is
+  /// called.
+  std::size_t append(const Condition &LeaderCondition,
+                     std::span<const jobs::JobEvent> Events,
+                     std::function<void(AppendResult)> Callback);
 
   /// Marks the records before \p Number as removable; each append removes some
   /// of them.
   void truncateBefore(std::uint64_t Number) { OldestNeeded = Number; }
 
+  /// Sends the append in flight once more if its last attempt has had no reply
+  /// for a while, for when the store is seen to answer again.
+  void retryUnanswered();
+
   /// Abandons a load or an append in progress; its callback isn't called.
   void stop();
 
-  bool appendInFlight() const { return AppendInFlight; }
+  bool appendInFlight() const { return InFlight != nullptr; }
   /// When the append in flight was started.
   Instant appendStartedAt() const { return AppendStartedAt; }
   /// When the last attempt of an append was sent.
@@ -67,7 +79,8 @@
   const Clock &Time;
   RecordStore &Store;
   LogSink &Log;
-  bool AppendInFlight = false;
+  /// The append in flight; null if there is none.
+  std::shared_ptr<PendingAppend> InFlight;
   Instant AppendStartedAt{};
   Instant LastSentAt{};
   std::uint64_t NextNumber = 1;
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -6,6 +6,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <boost/json.hpp>
+#include <limits>
 
 namespace balsamlatch::jobs {
 
@@ -325,12 +326,24 @@
 } // namespace
 
 std::string encodeEvents(const std::vector<JobEvent> &Events) {
-  json::array EventArray;
-  EventArray.reserve(Events.size());
+  return encodeEvents(Events, std::numeric_limits<std::size_t>::max()).Text;
+}
+
+EncodedEvents encodeEvents(std::span<const JobEvent> Events,
+                           std::size_t MaxBytes) {
+  EncodedEvents Encoded{"[", 0};
   for (const JobEvent &Event : Events) {
-    EventArray.push_back(std::visit(Encoder{}, Event));
+    const std::string EventText = json::serialize(std::visit(Encoder{}, Event));
+    if (Encoded.Count > 0 &&
+        Encoded.Text.size() + EventText.size() + 2 > MaxBytes) {
+      break;
+    }
+    Encoded.Text += Encoded.Count > 0 ? "," : "";
+    Encoded.Text += EventText;
+    ++Encoded.Count;
   }
-  return json::serialize(EventArray);
+  Encoded.Text += "]";
+  return Encoded;
 }
 
 absl::StatusOr<std::vector<JobEvent>> decodeEvents(std::string_view Text) {
--- a/Source/Jobs/include/balsamlatch/Jobs/JournalCodec.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JournalCodec.h
@@ -8,6 +8,7 @@
 #include "balsamlatch/Jobs/JobEvents.h"
 
 #include <absl/status/statusor.h>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,16 @@
 
 std::string encodeEvents(const std::vector<JobEvent> &Events);
 
+/// The first Count events of a sequence as text.
+struct EncodedEvents {
+  std::string Text;
+  std::size_t Count = 0;
+};
+
+/// Encodes as many events as \p MaxBytes can hold, but at least one.
+EncodedEvents encodeEvents(std::span<const JobEvent> Events,
+                           std::size_t MaxBytes);
+
 /// Returns DataLoss with the index of the first event that cannot be decoded.
 absl::StatusOr<std::vector<JobEvent>> decodeEvents(std::string_view Text);
 
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -117,7 +117,7 @@
 
   std::optional<Journal::AppendResult> append(const std::string &Id) {
     std::optional<Journal::AppendResult> Result;
-    JobJournal.append(leaderCondition(), {acceptedEvent(Id)},
+    JobJournal.append(leaderCondition(), std::vector{acceptedEvent(Id)},
                       [&](Journal::AppendResult Outcome) { Result = Outcome; });
     runUntil([&] { return Result.has_value(); });
     return Result;
@@ -140,6 +140,9 @@
       std::make_shared<dispatch::Deployment>();
   Duration MinAppendInterval = 15ms;
   dispatch::DispatchOptions DispatchSettings;
+  std::uint64_t CompactionThreshold =
+      JobControllerOptions().CompactionThreshold;
+  Duration CompactionPeriod = JobControllerOptions().CompactionPeriod;
 
   ElectionFixture() {
     Config->Version = 1;
@@ -154,6 +157,8 @@
     Options.Self = {Name, "127.0.0.1", 1, CpuMilli};
     Options.MinAppendInterval = MinAppendInterval;
     Options.Dispatch = DispatchSettings;
+    Options.CompactionThreshold = CompactionThreshold;
+    Options.CompactionPeriod = CompactionPeriod;
     auto NewEntry = std::make_unique<JobController>(
         Loop, Time, Log, Store, *WorkerAdapter, Policies, Options);
     NewEntry->configure(Config);
@@ -214,7 +219,7 @@
   const Condition OldCondition = leaderCondition();
   Store.put("lead/jobs", "another");
   std::optional<Journal::AppendResult> Result;
-  JobJournal.append(OldCondition, {acceptedEvent("a")},
+  JobJournal.append(OldCondition, std::vector{acceptedEvent("a")},
                     [&](Journal::AppendResult Outcome) { Result = Outcome; });
   BOOST_TEST(runUntil([&] { return Result.has_value(); }));
   BOOST_TEST((*Result == Journal::AppendResult::LeadershipLost));
@@ -323,16 +328,23 @@
   }
 }
 
-BOOST_FIXTURE_TEST_CASE(JobsAreRefusedAtOnceWhileTheStoreIsUnavailable,
+BOOST_FIXTURE_TEST_CASE(JobsAreRefusedAtOnceWhileTheStoreIsSilent,
                         ElectionFixture) {
   auto FirstEntry = startEntry("one");
   BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
-  Store.IsUnavailable = true;
+  Store.LosesWrites = true;
   std::optional<JobReply> EarlierReply;
   FirstEntry->request(submitJob("a"),
                       [&](const JobReply &Reply) { EarlierReply = Reply; });
+  runFor(20ms);
+  std::optional<JobReply> WaitingReply;
+  FirstEntry->request(submitJob("c"),
+                      [&](const JobReply &Reply) { WaitingReply = Reply; });
   runFor(600ms);
   BOOST_TEST(!EarlierReply.has_value());
+  // Only the request in flight is in doubt.
+  BOOST_REQUIRE(WaitingReply.has_value());
+  BOOST_TEST((WaitingReply->Outcome == JobReply::Refused));
   std::optional<JobReply> LaterReply;
   FirstEntry->request(submitJob("b"),
                       [&](const JobReply &Reply) { LaterReply = Reply; });
@@ -340,10 +352,120 @@
   BOOST_TEST((LaterReply->Outcome == JobReply::Refused));
   BOOST_TEST((LaterReply->RetryAfter >= 1s));
   // The request in flight is stored after the outage.
-  Store.IsUnavailable = false;
+  Store.LosesWrites = false;
   BOOST_TEST(runUntil([&] { return EarlierReply.has_value(); }));
   BOOST_TEST((EarlierReply->Outcome == JobReply::Done));
+  runFor(50ms);
   BOOST_TEST(FirstEntry->jobTable().find(jobs::JobId("b")) == nullptr);
+  BOOST_TEST(FirstEntry->jobTable().find(jobs::JobId("c")) == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(JobsThatTheStoreTurnsDownAreRefused, ElectionFixture) {
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  Store.IsUnavailable = true;
+  std::optional<JobReply> EarlierReply;
+  FirstEntry->request(submitJob("a"),
+                      [&](const JobReply &Reply) { EarlierReply = Reply; });
+  runFor(200ms);
+  BOOST_TEST(!EarlierReply.has_value()); // The outage may be short.
+  BOOST_TEST(runUntil([&] { return EarlierReply.has_value(); }));
+  BOOST_TEST((EarlierReply->Outcome == JobReply::Refused));
+  BOOST_TEST((EarlierReply->RetryAfter >= 1s));
+  std::optional<JobReply> LaterReply;
+  FirstEntry->request(submitJob("b"),
+                      [&](const JobReply &Reply) { LaterReply = Reply; });
+  runFor(80ms);
+  BOOST_REQUIRE(LaterReply.has_value());
+  BOOST_TEST((LaterReply->Outcome == JobReply::Refused));
+  Store.IsUnavailable = false;
+  BOOST_TEST(
+      (sendRequest(*FirstEntry, submitJob("b"))->Outcome == JobReply::Done));
+  runFor(100ms);
+  BOOST_TEST(FirstEntry->jobTable().find(jobs::JobId("a")) == nullptr);
+}
+
+BOOST_FIXTURE_TEST_CASE(ALateAttemptOfARefusedRequestIsRefused,
+                        ElectionFixture) {
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  SubmitJob Request = submitJob("a");
+  Request.RequestId = "request-1";
+  Store.IsUnavailable = true;
+  BOOST_TEST((sendRequest(*FirstEntry, Request)->Outcome == JobReply::Refused));
+  Store.IsUnavailable = false;
+  // The caller has been told that the job hasn't run.
+  BOOST_TEST((sendRequest(*FirstEntry, Request)->Outcome == JobReply::Refused));
+  BOOST_TEST(FirstEntry->jobTable().find(Request.Job) == nullptr);
+  Request.RequestId = "request-2"; // The caller tries again.
+  BOOST_TEST((sendRequest(*FirstEntry, Request)->Outcome == JobReply::Done));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnAttemptForAnotherTermHasNoEffect, ElectionFixture) {
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  SubmitJob Request = submitJob("a");
+  Request.LeaderToken = FirstEntry->token().Value;
+  Store.expire(Store.Items.at("lead/jobs").Lease);
+  BOOST_TEST(runUntil([&] { return !FirstEntry->isLeading(); }));
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  BOOST_TEST(
+      (sendRequest(*FirstEntry, Request)->Outcome == JobReply::NotLeader));
+  BOOST_TEST(FirstEntry->jobTable().jobs().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(ALargeBatchTakesSeveralRecords, ElectionFixture) {
+  constexpr std::size_t JobCount = 300;
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  std::size_t StoredJobs = 0;
+  for (std::size_t Number = 0; Number < JobCount; ++Number) {
+    SubmitJob Request = submitJob(fmt::format("j{}", Number));
+    Request.Spec.Text = std::string(jobs::MaxSpecTextBytes, 'x');
+    FirstEntry->request(Request, [&](const JobReply &Reply) {
+      StoredJobs += Reply.Outcome == JobReply::Done ? 1 : 0;
+    });
+  }
+  BOOST_TEST(runUntil([&] { return StoredJobs == JobCount; }));
+  for (const auto &[Key, Item] : Store.Items) {
+    BOOST_TEST(Item.Value.size() <= MaxRecordBytes);
+  }
+  BOOST_TEST(FirstEntry->jobTable().jobs().size() == JobCount);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnUnansweredAppendIsRepeatedOnceTheStoreAnswers,
+                        ElectionFixture) {
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  Store.CommitReplyDelay = 1500ms; // The connection has gone silent.
+  std::optional<JobReply> FinalReply;
+  FirstEntry->request(submitJob("a"),
+                      [&](const JobReply &Reply) { FinalReply = Reply; });
+  runFor(30ms);
+  Store.CommitReplyDelay = 1ms;
+  runFor(700ms);
+  BOOST_REQUIRE(FinalReply.has_value());
+  BOOST_TEST((FinalReply->Outcome == JobReply::Done));
+  runFor(1000ms); // The first reply arrives late.
+  BOOST_TEST(
+      (sendRequest(*FirstEntry, submitJob("b"))->Outcome == JobReply::Done));
+}
+
+BOOST_FIXTURE_TEST_CASE(ACancellationSurvivesACompaction, ElectionFixture) {
+  MinAppendInterval = 150ms;
+  CompactionThreshold = 2;
+  CompactionPeriod = 20ms;
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
+  for (const char *Id : {"a", "b", "c"}) {
+    BOOST_TEST(
+        (sendRequest(*FirstEntry, submitJob(Id))->Outcome == JobReply::Done));
+  }
+  // Old jobs are rewritten while the cancellation waits for the next record.
+  BOOST_TEST((sendRequest(*FirstEntry, CancelJob{jobs::JobId("a")})->Outcome ==
+              JobReply::Done));
+  BOOST_TEST((sendRequest(*FirstEntry, QueryJob{jobs::JobId("a")})->State ==
+              jobs::JobState::Cancelled));
 }
 
 BOOST_FIXTURE_TEST_CASE(RouterReportsFailureUntilALeaderReplies,
@@ -449,7 +571,7 @@
   BOOST_TEST(runUntil([&] { return Leader->isLeading(); }));
   http::Client PeerClient(Loop.context(), {});
   JobRouter Router(Loop, Time, Log, *Leader, PeerClient);
-  Store.IsUnavailable = true;
+  Store.LosesWrites = true;
   std::optional<JobReply> FinalReply;
   Router.request(submitJob("a"), {Time.now() + 50ms, Time.now() + 2s},
                  [&](const JobReply &Reply) { FinalReply = Reply; });
@@ -457,8 +579,7 @@
   Leader->yieldLeadership(); // The append of the job's record is in flight.
   runFor(200ms);
   BOOST_TEST(!FinalReply.has_value());
-  Store.IsUnavailable = false;
-  Store.expire(Store.Items.at("lead/jobs").Lease);
+  Store.LosesWrites = false;
   BOOST_TEST(runUntil([&] { return FinalReply.has_value(); }));
   BOOST_TEST((FinalReply->Outcome == JobReply::Done));
 }
@@ -591,11 +712,12 @@
   BOOST_TEST((*Decoded == Events));
   BOOST_TEST(!decodeEvents("[[\"a\"]]").ok());
   // Enumerators that don't exist, and a step that depends on itself.
-  for (const char *InvalidEvents :
-       {R"([["z","j",9,0]])", R"([["e","j",0,0,0,1,9,""]])",
-        R"([["a","j","q","p",0,["",[[1,0,0,0,0,[0],"","",0,0,0,"",0]],0,0,0]]])",
-        R"([["a","j","q","p",0,["",[[1,0,0,0,0,[4294967295],"","",0,0,0,"",0]],)"
-        R"(0,0,0]]])"}) {
+  for (
+      const char *InvalidEvents :
+      {R"([["z","j",9,0]])", R"([["e","j",0,0,0,1,9,""]])",
+       R"([["a","j","q","p",0,["",[[1,0,0,0,0,[0],"","",0,0,0,"",0]],0,0,0]]])",
+       R"([["a","j","q","p",0,["",[[1,0,0,0,0,[4294967295],"","",0,0,0,"",0]],)"
+       R"(0,0,0]]])"}) {
     BOOST_TEST(!decodeEvents(InvalidEvents).ok(), InvalidEvents);
   }
   BOOST_TEST(!decodeEvents("{").ok());
--- a/Tests/Control/FakeStore.cpp
+++ b/Tests/Control/FakeStore.cpp
@@ -3,6 +3,8 @@
 
 #include "FakeStore.h"
 
+#include <algorithm>
+
 namespace balsamlatch::control::test {
 
 namespace {
@@ -91,8 +93,17 @@
                        std::function<void(TransactionReply)> Callback) {
   ++Commits;
   TransactionReply Reply;
+  const bool IsTooLong =
+      std::any_of(Request.Writes.begin(), Request.Writes.end(),
+                  [&](const Write &ItemWrite) {
+                    return ItemWrite.Value.size() > MaxValueBytes;
+                  });
   if (IsUnavailable) {
     Reply.Status = unavailableError();
+  } else if (IsTooLong) {
+    Reply.Status = absl::InternalError("the value is too long");
+  } else if (LosesWrites) {
+    Reply.Status = absl::DeadlineExceededError("no answer");
   } else if (WritesToDelay > 0) {
     --WritesToDelay;
     DelayedTransactions.push_back(std::move(Request));
--- a/Tests/Control/FakeStore.h
+++ b/Tests/Control/FakeStore.h
@@ -44,7 +44,12 @@
   /// Time after which the replies to lease grants and writes arrive.
   Duration GrantReplyDelay = std::chrono::milliseconds(1);
   Duration CommitReplyDelay = std::chrono::milliseconds(1);
+  /// All calls are turned down without an effect.
   bool IsUnavailable = false;
+  /// Writes time out without an effect.
+  bool LosesWrites = false;
+  /// Writes of longer values fail.
+  std::size_t MaxValueBytes = 1'048'576;
   /// Items on one page of a list reply.
   std::size_t PageSize = 3;
   unsigned Commits = 0;
--- a/Tests/PlatformAdapter/MutationTest.cpp
+++ b/Tests/PlatformAdapter/MutationTest.cpp
@@ -143,8 +143,9 @@
       Config->match("h", "/x/1");
     }
   });
-  mutateAndDecode(ValidWorker,
-                  [](const std::string &Text) { return decodeWorker("w", Text); });
+  mutateAndDecode(ValidWorker, [](const std::string &Text) {
+    return decodeWorker("w", Text);
+  });
   mutateAndDecode(ValidHosts, [](const std::string &Text) {
     std::string NextPageToken;
     return decodeHosts(Text, NextPageToken);
@@ -153,6 +154,7 @@
                   [](const std::string &Text) { return decodeWave(Text); });
   mutateAndDecode(ValidPermits,
                   [](const std::string &Text) { return decodePermits(Text); });
-  mutateAndDecode(ValidSettings,
-                  [](const std::string &Text) { return parseSettings("file", Text); });
+  mutateAndDecode(ValidSettings, [](const std::string &Text) {
+    return parseSettings("file", Text);
+  });
 }
