--- a/Source/Dispatch/HostMoves.cpp
+++ b/Source/Dispatch/HostMoves.cpp
@@ -6,6 +6,7 @@
 #include "HostWorkers.h"
 
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace balsamlatch::dispatch {
 
@@ -17,6 +18,8 @@
 constexpr Duration ArrivalWindow = std::chrono::milliseconds(500);
 constexpr std::int64_t ExpectedArrivalsPerJob = 3;
 
+constexpr Duration SizesLogPeriod = std::chrono::seconds(1);
+
 /// Occurrences due within this time count as demand now, since a move takes
 /// about as long.
 constexpr Duration DueLookahead = std::chrono::milliseconds(1700);
@@ -115,6 +118,23 @@
   return Result;
 }
 
+void HostScheduler::logPoolSizes(const PoolPlan &Plan) {
+  const Instant Now = Time.now();
+  if (Now < NextSizesLogAt) {
+    return;
+  }
+  NextSizesLogAt = Now + SizesLogPeriod;
+  std::string Sizes;
+  for (const auto &[Pool, Size] : Plan.Sizes) {
+    Sizes += fmt::format("{}{} {}/{}", Sizes.empty() ? "" : ", ", Pool.Text,
+                         Size.HostCount, Size.DesiredHosts);
+  }
+  Log.write(LogLevel::Info, "pools-sized",
+            {{"hosts_of_desired", Sizes},
+             {"moves", Plan.Moves.size()},
+             {"drains", Plan.Drains.size()}});
+}
+
 void HostScheduler::decideMoves(Dispatcher &JobDispatcher,
                                 const jobs::JobTable &Jobs,
                                 const Deployment &Config,
@@ -130,6 +150,7 @@
   }
   const PoolPlan Plan =
       Pools.plan(Now, Config.Pools, DemandByPool, poolHosts(JobDispatcher));
+  logPoolSizes(Plan);
   for (const PoolPlan::HostMove &PlannedMove : Plan.Moves) {
     const HostRecord *Host = find(PlannedMove.Host);
     MovingHosts[PlannedMove.Host] = {PlannedMove.TargetPool, Now};
--- a/Source/Dispatch/PoolPlanner.cpp
+++ b/Source/Dispatch/PoolPlanner.cpp
@@ -153,6 +153,9 @@
   }
   std::sort(Hosts.begin(), Hosts.end(), isCheaperToTake);
   PoolPlan Plan;
+  for (const auto &[Name, PoolBalance] : PoolBalances) {
+    Plan.Sizes[Name] = {PoolBalance.HostCount, PoolBalance.DesiredHosts};
+  }
   coverShortages(PoolBalances, Hosts, Plan);
   if (!StandbyPool.empty()) {
     releaseSurplus(Now, StandbyPool, PoolBalances, Hosts, Plan);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -117,6 +117,8 @@
   void decideWave(Wave &ActiveWave, Dispatcher &JobDispatcher,
                   const jobs::JobTable &Jobs,
                   std::vector<HostDecision> &Decisions);
+  /// Writes the actual and the desired sizes of the pools, once a second.
+  void logPoolSizes(const PoolPlan &Plan);
   void decideMoves(Dispatcher &JobDispatcher, const jobs::JobTable &Jobs,
                    const Deployment &Config,
                    std::vector<HostDecision> &Decisions);
@@ -134,6 +136,7 @@
   const HostSchedulerOptions Settings;
   LogSink &Log;
   PoolPlanner Pools;
+  Instant NextSizesLogAt{};
   Instant TermStart{};
   bool EarlierOrdersKnown = false;
   std::set<HostName> EarlierOrders;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
@@ -70,6 +70,16 @@
   std::vector<HostMove> Moves;
   /// Hosts that must drain before they can move.
   std::vector<HostName> Drains;
+
+  /// Size of a pool when the plan was made.
+  struct PoolSize {
+    unsigned HostCount = 0;
+    unsigned DesiredHosts = 0;
+
+    auto operator<=>(const PoolSize &) const = default;
+  };
+
+  std::map<PoolName, PoolSize> Sizes;
 };
 
 /// Sizes the pools, keeping recent demand between calls of plan().
