dispatch: Share the hosts in proportion when the pools desire more than there are

Hosts were taken only from pools with a surplus, and the pool whose demand came first never had one while its backlog lasted: jobs of the second queue waited until they were worth nothing.

Load pattern: the work of one queue still fills its hosts when the turn of another begins. If the desired sizes add up to more than there is, each pool now keeps what its long-running tasks and the minimum need, and the rest is shared in proportion.

--- a/Source/Dispatch/PoolPlanner.cpp
+++ b/Source/Dispatch/PoolPlanner.cpp
@@ -90,6 +90,32 @@
   }
 }
 
+/// Shares the hosts in proportion to what the pools desire if they desire more
+/// than there are. Without it, a pool whose demand came first keeps its hosts
+/// while work for later ones piles up.
+void limitToFairShares(PoolPlanner::Balances &PoolBalances, unsigned MinHosts) {
+  std::uint64_t Available = 0;
+  std::uint64_t Reserved = 0;
+  std::uint64_t Desired = 0;
+  const auto ReservedHosts = [MinHosts](const PoolPlanner::Balance &Pool) {
+    return std::min(Pool.DesiredHosts, std::max(MinHosts, Pool.FixedHosts));
+  };
+  for (const auto &[Name, Pool] : PoolBalances) {
+    Available += Pool.HostCount;
+    Reserved += ReservedHosts(Pool);
+    Desired += Pool.DesiredHosts;
+  }
+  if (Desired <= Available || Reserved >= Available) {
+    return;
+  }
+  for (auto &[Name, Pool] : PoolBalances) {
+    const std::uint64_t Floor = ReservedHosts(Pool);
+    Pool.DesiredHosts = static_cast<unsigned>(
+        Floor + (Pool.DesiredHosts - Floor) * (Available - Reserved) /
+                    (Desired - Reserved));
+  }
+}
+
 Resources meanCapacity(const std::vector<PoolHost> &Hosts) {
   Resources Sum;
   for (const PoolHost &Host : Hosts) {
@@ -141,9 +167,11 @@
       continue;
     }
     const auto It = Demand.find(PoolEntry.Name);
-    PoolBalance.DesiredHosts = desiredHosts(
-        Now, PoolEntry.Name, It == Demand.end() ? PoolDemand() : It->second,
-        HostCapacity);
+    const PoolDemand NoDemand;
+    const PoolDemand &OwnDemand = It == Demand.end() ? NoDemand : It->second;
+    PoolBalance.DesiredHosts =
+        desiredHosts(Now, PoolEntry.Name, OwnDemand, HostCapacity);
+    PoolBalance.FixedHosts = OwnDemand.LongRunningHosts;
   }
   for (const PoolHost &Host : Hosts) {
     const auto It = PoolBalances.find(Host.Pool);
@@ -153,6 +181,7 @@
   }
   std::sort(Hosts.begin(), Hosts.end(), isCheaperToTake);
   PoolPlan Plan;
+  limitToFairShares(PoolBalances, Settings.MinHosts);
   for (const auto &[Name, PoolBalance] : PoolBalances) {
     Plan.Sizes[Name] = {PoolBalance.HostCount, PoolBalance.DesiredHosts};
   }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
@@ -89,6 +89,8 @@
   struct Balance {
     unsigned HostCount = 0;
     unsigned DesiredHosts = 0;
+    /// Hosts that can't leave because of long-running tasks.
+    unsigned FixedHosts = 0;
     bool Standby = false;
 
     bool isMoreUndersizedThan(const Balance &Other) const {
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -373,3 +373,30 @@
   BOOST_TEST(Plan.Moves.empty());
   BOOST_TEST(Plan.Drains.empty());
 }
+
+BOOST_AUTO_TEST_CASE(PoolsShareTheHostsWhenTheyDesireMoreThanThereAre) {
+  // The work of one queue still fills its hosts when the turn of another queue
+  // begins.
+  PoolPlanner Planner{PoolPlannerOptions()};
+  const PoolName EarlyPool("early");
+  const PoolName LatePool("late");
+  std::vector<PoolHost> Hosts(12);
+  for (std::size_t Number = 0; Number < Hosts.size(); ++Number) {
+    Hosts[Number].Name = HostName(fmt::format("h{}", Number));
+    Hosts[Number].Pool = Number < 10 ? EarlyPool : LatePool;
+    Hosts[Number].Capacity = {4000, 4000, 0};
+    Hosts[Number].IsMovable = true;
+    Hosts[Number].ClaimedCpuMilli = 4000;
+  }
+  const std::vector<Pool> Pools = {{EarlyPool}, {LatePool}};
+  const PoolDemand Demand{{48000, 1000, 0}, 0};
+  PoolPlan Plan = Planner.plan(
+      Instant(1s), Pools, {{EarlyPool, Demand}, {LatePool, Demand}}, Hosts);
+  BOOST_TEST(Plan.Drains.size() == 4);
+  BOOST_TEST(Plan.Moves.empty());
+  // A pool that alone desires more than there is keeps all that is unneeded
+  // elsewhere.
+  Planner.reset();
+  Plan = Planner.plan(Instant(1s), Pools, {{EarlyPool, Demand}}, Hosts);
+  BOOST_TEST(Plan.Drains.empty());
+}
