dispatch: Runs with checkpoints make room for a more urgent queue

Load pattern: a queue's turn begins while less urgent work fills the hosts that are to move. Its runs that continue elsewhere from a checkpoint are stopped; runs without checkpoints, gangs, long-running tasks, runs past 70 % and runs of a queue of the same priority drain as before.

Three tests; the first fails without the preemption, the others hold what it must not do.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -205,16 +205,15 @@
   }
 }
 
-void Dispatcher::moveRun(const std::string &WorkerId, const TaskRef &Task) {
+void Dispatcher::moveRun(const std::string &WorkerId, const TaskRef &Task,
+                         std::string_view Reason) {
   const auto WorkerIt = Workers.find(WorkerId);
   if (WorkerIt == Workers.end() || !WorkerIt->second.Runs.contains(Task)) {
     return;
   }
   WorkerIt->second.Runs[Task].StopRequested = true;
   Log.write(LogLevel::Info, "run-moved",
-            {{"job", Task.Job.Text},
-             {"worker", WorkerId},
-             {"why", "the host of the worker is to be maintained"}});
+            {{"job", Task.Job.Text}, {"worker", WorkerId}, {"why", Reason}});
 }
 
 void Dispatcher::setHostedWorkers(const std::set<std::string> &Ids) {
--- a/Source/Dispatch/HostMoves.cpp
+++ b/Source/Dispatch/HostMoves.cpp
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <limits>
 
 namespace balsamlatch::dispatch {
 
@@ -18,6 +19,8 @@
 constexpr Duration ArrivalWindow = std::chrono::milliseconds(500);
 constexpr std::int64_t ExpectedArrivalsPerJob = 3;
 
+/// A run that has got further soon ends by itself.
+constexpr unsigned MaxPreemptedPercent = 70;
 constexpr Duration SizesLogPeriod = std::chrono::seconds(1);
 
 /// Occurrences due within this time count as demand now, since a move takes
@@ -26,7 +29,7 @@
 
 /// Adds the demand of the tasks of a step that run or could run now.
 void addDemand(const jobs::Job &Job, unsigned Occurrence, unsigned Step,
-               std::int64_t Weight, PoolDemand &Demand) {
+               std::int64_t Weight, unsigned Priority, PoolDemand &Demand) {
   const jobs::StepSpec &Spec = Job.spec().Steps[Step];
   if (Spec.LongRunning) {
     const unsigned TasksPerHost =
@@ -48,6 +51,7 @@
                                 return Task.Phase != jobs::TaskPhase::Done;
                               });
   }
+  Demand.TopPriority = std::min(Demand.TopPriority, Priority);
   Demand.BatchResources.CpuMilli +=
       Spec.RequestedResources.CpuMilli * OpenTasks * Weight;
   Demand.BatchResources.MemoryMb +=
@@ -72,7 +76,10 @@
     const std::int64_t Weight = IsNew ? 1 + ExpectedArrivalsPerJob : 1;
     for (const unsigned Occurrence : Job.dueOccurrences(Now + DueLookahead)) {
       for (unsigned Step = 0; Step < Job.spec().Steps.size(); ++Step) {
-        addDemand(Job, Occurrence, Step, Weight, Demand);
+        addDemand(Job, Occurrence, Step, Weight,
+                  JobQueue == nullptr ? std::numeric_limits<unsigned>::max()
+                                      : JobQueue->Priority,
+                  Demand);
       }
     }
   }
@@ -118,6 +125,35 @@
   return Result;
 }
 
+void HostScheduler::preemptRuns(const HostName &Name, unsigned TopPriority,
+                                const jobs::JobTable &Jobs,
+                                const Deployment &Config,
+                                Dispatcher &JobDispatcher) const {
+  const WorkerState *Worker = findHostWorker(*find(Name), JobDispatcher);
+  if (Worker == nullptr) {
+    return;
+  }
+  std::vector<TaskRef> PreemptedTasks;
+  for (const auto &[Task, Run] : Worker->Runs) {
+    const jobs::Job *Job = Jobs.find(Task.Job);
+    const Queue *JobQueue =
+        Job == nullptr ? nullptr : Config.find(Job->Record.Accepted.Queue);
+    if (JobQueue == nullptr || JobQueue->Priority <= TopPriority ||
+        Run.Phase != RunPhase::Running || Run.StopRequested ||
+        Run.Percent > MaxPreemptedPercent) {
+      continue;
+    }
+    const jobs::StepSpec &Step = Job->spec().Steps[Task.Step];
+    if (Step.Checkpoints && !Step.Gang && !Step.LongRunning) {
+      PreemptedTasks.push_back(Task);
+    }
+  }
+  for (const TaskRef &Task : PreemptedTasks) {
+    JobDispatcher.moveRun(Worker->Record.Instance.Id, Task,
+                          "a more urgent queue needs the host");
+  }
+}
+
 void HostScheduler::logPoolSizes(const PoolPlan &Plan) {
   const Instant Now = Time.now();
   if (Now < NextSizesLogAt) {
@@ -158,11 +194,14 @@
     issueOrder({PlannedMove.Host, Host->WorkerId, 0, PlannedMove.TargetPool},
                JobDispatcher, Decisions);
   }
-  const std::set<HostName> HostsToDrain(Plan.Drains.begin(), Plan.Drains.end());
-  for (const HostName &Name : HostsToDrain) {
-    if (HostsDrainingForMove.insert(Name).second) {
-      JobDispatcher.setCordoned(find(Name)->WorkerId, true);
+  std::set<HostName> HostsToDrain;
+  for (const PoolPlan::HostMove &Drain : Plan.Drains) {
+    HostsToDrain.insert(Drain.Host);
+    if (HostsDrainingForMove.insert(Drain.Host).second) {
+      JobDispatcher.setCordoned(find(Drain.Host)->WorkerId, true);
     }
+    preemptRuns(Drain.Host, DemandByPool[Drain.TargetPool].TopPriority, Jobs,
+                Config, JobDispatcher);
   }
   std::erase_if(HostsDrainingForMove, [&](const HostName &Name) {
     const HostRecord *Host = find(Name);
--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -295,7 +295,8 @@
     if (!MayInterrupt && DrainIt != ActiveWave.DrainingSince.end()) {
       // Moves the long-running tasks to other workers one by one.
       if (const auto Task = findTaskToMove(*Worker, JobDispatcher, Jobs)) {
-        JobDispatcher.moveRun(Host->WorkerId, *Task);
+        JobDispatcher.moveRun(Host->WorkerId, *Task,
+                              "the host of the worker is to be maintained");
       }
     }
     if (IsOverdue && !MayInterrupt) {
--- a/Source/Dispatch/PoolPlanner.cpp
+++ b/Source/Dispatch/PoolPlanner.cpp
@@ -84,7 +84,7 @@
     if (Donor->IsVacant) {
       Plan.Moves.push_back({Donor->Name, *TargetPool});
     } else {
-      Plan.Drains.push_back(Donor->Name);
+      Plan.Drains.push_back({Donor->Name, *TargetPool});
     }
     Hosts.erase(Donor);
   }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -111,7 +111,9 @@
   /// host, and cordons it for that time.
   void setHostOrderPending(const std::string &WorkerId, bool OrderPending);
   /// Stops the run of the task on the worker, so that the task is placed again.
-  void moveRun(const std::string &WorkerId, const TaskRef &Task);
+  /// \p Reason is logged.
+  void moveRun(const std::string &WorkerId, const TaskRef &Task,
+               std::string_view Reason);
   /// Takes the workers on any host by the latest host list. A worker that can't
   /// be reached and is missing from two lists in a row counts as ended.
   void setHostedWorkers(const std::set<std::string> &Ids);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -117,6 +117,11 @@
   void decideWave(Wave &ActiveWave, Dispatcher &JobDispatcher,
                   const jobs::JobTable &Jobs,
                   std::vector<HostDecision> &Decisions);
+  /// Stops runs on the draining host that continue from a checkpoint elsewhere
+  /// and whose queue is less urgent than \p TopPriority.
+  void preemptRuns(const HostName &Name, unsigned TopPriority,
+                   const jobs::JobTable &Jobs, const Deployment &Config,
+                   Dispatcher &JobDispatcher) const;
   /// Writes the actual and the desired sizes of the pools, once a second.
   void logPoolSizes(const PoolPlan &Plan);
   void decideMoves(Dispatcher &JobDispatcher, const jobs::JobTable &Jobs,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
@@ -9,6 +9,7 @@
 
 #include "balsamlatch/Dispatch/Deployment.h"
 
+#include <limits>
 #include <map>
 #include <vector>
 
@@ -23,6 +24,9 @@
   unsigned LongRunningHosts = 0;
   /// Total hosts needed to place the tasks that no usable worker can take.
   unsigned HostsForUnplaced = 0;
+  /// Priority of the most urgent queue with tasks that run or could run now;
+  /// 0 comes first.
+  unsigned TopPriority = std::numeric_limits<unsigned>::max();
 
   auto operator<=>(const PoolDemand &) const = default;
 };
@@ -69,7 +73,7 @@
 
   std::vector<HostMove> Moves;
   /// Hosts that must drain before they can move.
-  std::vector<HostName> Drains;
+  std::vector<HostMove> Drains;
 
   /// Size of a pool when the plan was made.
   struct PoolSize {
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -7,6 +7,7 @@
 
 #include "balsamlatch/Dispatch/HostScheduler.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
@@ -400,3 +401,70 @@
   Plan = Planner.plan(Instant(1s), Pools, {{EarlyPool, Demand}}, Hosts);
   BOOST_TEST(Plan.Drains.empty());
 }
+
+namespace {
+
+/// A fleet whose hosts are filled by jobs of one queue when jobs of an urgent
+/// queue arrive, whose own pool has a single host.
+struct TwoQueueFixture : FleetFixture {
+  TwoQueueFixture() : FleetFixture(6) {
+    Queue &FillingQueue = Sim.Config->Queues.front();
+    FillingQueue.Priority = 1;
+    UrgentQueue = FillingQueue;
+    UrgentQueue.Name = QueueName("urgent");
+    UrgentQueue.Pool = PoolName("urgent");
+    UrgentQueue.Priority = 0;
+    Sim.Config->Queues.push_back(UrgentQueue);
+    Sim.Config->Pools.push_back({UrgentQueue.Pool});
+    Hosts.back().Pool = UrgentQueue.Pool;
+    Sim.Workers.back().Record.Pool = UrgentQueue.Pool;
+    for (FakeWorker &Worker : Sim.Workers) {
+      Worker.RunDuration = 3s;
+    }
+  }
+
+  /// Returns how many runs were stopped within a second of the urgent jobs'
+  /// arrival.
+  std::size_t countStopped(jobs::JobSpec FillingSpec) {
+    Sim.submit("filling", std::move(FillingSpec));
+    Sim.run(500ms);
+    Sim.submit("urgent", simpleJob(24), UrgentQueue);
+    for (int Round = 0; Round < 10; ++Round) {
+      Sim.run(100ms);
+      publishHosts();
+      decide();
+    }
+    return static_cast<std::size_t>(
+        std::count_if(Sim.Observed.Runs.begin(), Sim.Observed.Runs.end(),
+                      [](const RunTrace &Run) {
+                        return Run.End == jobs::RunOutcome::Stopped;
+                      }));
+  }
+
+  Queue UrgentQueue;
+};
+
+jobs::JobSpec checkpointingJob(unsigned Tasks) {
+  jobs::JobSpec Spec = simpleJob(Tasks);
+  Spec.Steps.front().Checkpoints = true;
+  return Spec;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(RunsWithCheckpointsMakeRoomForAMoreUrgentQueue,
+                        TwoQueueFixture) {
+  BOOST_TEST(countStopped(checkpointingJob(20)) > 0U);
+  BOOST_TEST(Sim.violations().empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(RunsWithoutCheckpointsAreNotPreempted,
+                        TwoQueueFixture) {
+  BOOST_TEST(countStopped(simpleJob(20)) == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(RunsOfAnEquallyUrgentQueueAreNotPreempted,
+                        TwoQueueFixture) {
+  Sim.Config->Queues.front().Priority = 0;
+  BOOST_TEST(countStopped(checkpointingJob(20)) == 0U);
+}
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -213,10 +213,15 @@
 }
 
 void Simulation::submit(const std::string &Id, jobs::JobSpec Spec) {
+  submit(Id, std::move(Spec), Config->Queues.front());
+}
+
+void Simulation::submit(const std::string &Id, jobs::JobSpec Spec,
+                        const Queue &JobQueue) {
   const JobId Job(Id);
   Specs[Job] = Spec;
   RequestedEvents.emplace_back(jobs::JobAccepted{
-      Job, TestQueue, TestPool, std::move(Spec), Time.wallNow()});
+      Job, JobQueue.Name, JobQueue.Pool, std::move(Spec), Time.wallNow()});
 }
 
 void Simulation::cancel(const std::string &Id) {
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -108,6 +108,7 @@
   explicit Simulation(unsigned WorkerCount, std::uint64_t Seed = 1);
 
   void submit(const std::string &Id, jobs::JobSpec Spec);
+  void submit(const std::string &Id, jobs::JobSpec Spec, const Queue &JobQueue);
   void cancel(const std::string &Id);
   /// Advances time in steps of 5 ms.
   void run(Duration Time);
