dispatch: Slow workers and slow tasks keep their runs

Looked for: a machine that is only slow to report has its work started elsewhere or given up. Both happened.

- A reply had to come within 400 ms.
A worker that took longer for each was never heard: its leases were not renewed, its runs ended as lost, and every start on it was stopped as unanswered.
The time allowed follows the delay of recent replies (up to 1.6 s), and every second retry at a silent worker waits that long.
- A run counted as stalled after 2.5 s without a new percentage.
The limit now grows with the estimate (a tenth), with the longest time that the run took for a percent (four times), and doubles with each stall of the task, as estimates may be far too short.

Records of failed and stalled tasks are dropped with their job; before they were kept until the end of the term.

Two tests; without the respective change 2 and 4 of their checks fail.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -83,6 +83,7 @@
   ClosingJobs.clear();
   OpenJobs.clear();
   LastFailedWorker.clear();
+  StallCounts.clear();
   WorkerOfEndingRun.clear();
   UnplacedSince.clear();
   RequiredHosts.clear();
@@ -130,6 +131,8 @@
         Run.LongRunning = Spec.LongRunning;
         Run.BestEffort = Spec.BestEffort;
         Run.TailObjective = Spec.TailObjective;
+        Run.StallTimeout =
+            stallTimeout({Job.id(), Occurrence, Step, Index}, Spec);
         if (Run.BestEffort) {
           Run.Pace.reset();
           Worker.TargetPace = {AdoptedPacePercent, TermStart};
@@ -278,6 +281,11 @@
 void Dispatcher::applyRecorded(const jobs::JobClosed &Event) {
   OpenJobs.erase(Event.Job);
   Permits.removeJob(Event.Job);
+  const auto IsOfJob = [&Event](const auto &TaskEntry) {
+    return TaskEntry.first.Job == Event.Job;
+  };
+  std::erase_if(LastFailedWorker, IsOfJob);
+  std::erase_if(StallCounts, IsOfJob);
   ClosingJobs.erase(Event.Job);
   for (auto &[Id, Worker] : Workers) {
     for (auto &[Task, Run] : Worker.Runs) {
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -95,8 +95,7 @@
       continue; // the next report contains the end of the run
     }
     Run.StopInFlight = true;
-    Orders.emplace_back(
-        StopOrder{Worker.Record.Address, Token, Task, Run.Number});
+    Orders.emplace_back(StopOrder{Worker.address(), Token, Task, Run.Number});
   }
 }
 
@@ -112,8 +111,8 @@
       continue;
     }
     Run.PaceInFlight = true;
-    Orders.emplace_back(PaceOrder{Worker.Record.Address, Token, Task,
-                                  Run.Number, Worker.TargetPace.Percent});
+    Orders.emplace_back(PaceOrder{Worker.address(), Token, Task, Run.Number,
+                                  Worker.TargetPace.Percent});
   }
 }
 
@@ -124,7 +123,7 @@
     return;
   }
   RenewOrder Order;
-  Order.Worker = Worker.Record.Address;
+  Order.Worker = Worker.address();
   Order.Token = Token;
   Order.LastRecordedEnd = Worker.LastRecordedEnd;
   // The worker reports ends that aren't recorded yet again at once, so a long
@@ -151,6 +150,7 @@
     extendLeaseExpiry(Worker, Now);
   }
   Worker.RenewalInFlight = true;
+  Worker.RenewalWait = Order.Wait;
   Orders.emplace_back(std::move(Order));
 }
 
@@ -159,7 +159,7 @@
   const jobs::Job *Job = Table->find(Task.Job);
   const Instant Now = Time.now();
   StartOrder Order;
-  Order.Worker = Worker.Record.Address;
+  Order.Worker = Worker.address();
   Order.Token = Token;
   Order.Task = Task;
   Order.Run = Run.Number;
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -402,6 +402,7 @@
   NewRun.LongRunning = Candidate.spec().LongRunning;
   NewRun.BestEffort = Candidate.spec().BestEffort;
   NewRun.TailObjective = Candidate.spec().TailObjective;
+  NewRun.StallTimeout = stallTimeout(Task, Candidate.spec());
   if (const std::string *Ticket = Permits.findTicket(
           stepOf(Task), Worker.Record.Instance, Time.now())) {
     NewRun.Ticket = *Ticket;
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -18,6 +18,12 @@
 constexpr unsigned AvoidanceThreshold = 3;
 constexpr Duration InitialAvoidance = std::chrono::seconds(2);
 constexpr unsigned MaxAvoidanceDoublings = 3;
+/// A run counts as stalled after this part of its task's estimated run time
+/// without progress, or after this many times the longest time that it took
+/// for a percent, whichever is longer.
+constexpr int StalledPartOfEstimate = 10;
+constexpr int StalledPercentTimes = 4;
+constexpr unsigned MaxStallDoublings = 10;
 /// Time without new work for a worker that refused a run for lack of resources,
 /// although the dispatcher counted enough free ones.
 constexpr Duration NoRoomDelay = std::chrono::milliseconds(100);
@@ -26,6 +32,8 @@
 constexpr Duration PaceRetryDelay = std::chrono::milliseconds(200);
 /// Delay before the next permit query after one without a reply.
 constexpr Duration QueryRetryDelay = std::chrono::milliseconds(100);
+/// The time allowed for a reply is this many times the delay of the last one.
+constexpr int ReplyTimeoutFactor = 2;
 /// Delay before the next renewal after one without a reply.
 constexpr Duration UnresponsiveRenewalPeriod = std::chrono::milliseconds(250);
 /// Time between renewals while reported ends are not recorded yet.
@@ -50,9 +58,11 @@
                 {{"worker", WorkerId}, {"outcome", static_cast<int>(Outcome)}});
     }
     Worker.IsUnresponsive = true;
+    ++Worker.UnansweredRenewals;
     Worker.NextRenewalAt = Now + UnresponsiveRenewalPeriod;
     return;
   }
+  adjustReplyTimeout(Worker, SentAt);
   if (Report.Incarnation != 0 &&
       Report.Incarnation < Worker.Record.Instance.Incarnation) {
     Worker.NextRenewalAt = Now; // the reply is from an earlier incarnation
@@ -83,6 +93,14 @@
   }
 }
 
+void Dispatcher::adjustReplyTimeout(WorkerState &Worker, Instant SentAt) const {
+  const Duration Delay = Time.now() - SentAt - Worker.RenewalWait;
+  Worker.UnansweredRenewals = 0;
+  Worker.ReplyTimeout = std::clamp(
+      std::max(Delay * ReplyTimeoutFactor, Worker.ReplyTimeout * 7 / 8),
+      MinReplyTimeout, MaxReplyTimeout);
+}
+
 void Dispatcher::processEndedRuns(WorkerState &Worker,
                                   const RenewReport &Report) {
   for (const EndedTask &EndedRun : Report.Ended) {
@@ -124,6 +142,7 @@
     Worker.ConsecutiveFailures = 0;
     Worker.AvoidanceDoublings = 0;
     LastFailedWorker.erase(Task);
+    StallCounts.erase(Task);
     return;
   }
   if (End != RunOutcome::Failed) {
@@ -170,8 +189,8 @@
              {"run", ReportedRun.Run},
              {"worker", Worker.Record.Instance.Id},
              {"why", "the journal has no such run on this worker"}});
-  Orders.emplace_back(StopOrder{Worker.Record.Address, Token, ReportedRun.Task,
-                                ReportedRun.Run});
+  Orders.emplace_back(
+      StopOrder{Worker.address(), Token, ReportedRun.Task, ReportedRun.Run});
 }
 
 void Dispatcher::updateProgress(WorkerState &Worker,
@@ -187,6 +206,12 @@
     Run.StartedAt = Now;
   }
   if (Run.Percent != ReportedRun.Percent || Run.PercentChangedAt == Instant()) {
+    if (Run.PercentChangedAt != Instant() &&
+        ReportedRun.Percent > Run.Percent) {
+      Run.LongestPercentTime = std::max(
+          Run.LongestPercentTime,
+          (Now - Run.PercentChangedAt) / (ReportedRun.Percent - Run.Percent));
+    }
     Run.Percent = ReportedRun.Percent;
     Run.PercentChangedAt = Now;
   }
@@ -198,16 +223,31 @@
                                               ReportedRun.Checkpoint});
   }
   if (!Run.LongRunning && !Run.StopRequested &&
-      Now - Run.PercentChangedAt > Settings.StallTimeout) {
+      Now - Run.PercentChangedAt >
+          std::max(Run.StallTimeout,
+                   Run.LongestPercentTime * StalledPercentTimes)) {
     Log.write(LogLevel::Warning, "run-stalled",
               {{"job", ReportedRun.Task.Job.Text},
                {"worker", Worker.Record.Instance.Id},
                {"percent", Run.Percent}});
     Run.StopRequested = true;
     LastFailedWorker[ReportedRun.Task] = Worker.Record.Instance.Id;
+    ++StallCounts[ReportedRun.Task];
   }
 }
 
+Duration Dispatcher::stallTimeout(const TaskRef &Task,
+                                  const jobs::StepSpec &Step) const {
+  const Duration FirstTimeout = std::max<Duration>(
+      Settings.StallTimeout, Step.EstimatedRunTime / StalledPartOfEstimate);
+  // The estimate may be far too short: a task that stalls everywhere is slow.
+  const auto CountIt = StallCounts.find(Task);
+  return CountIt == StallCounts.end()
+             ? FirstTimeout
+             : FirstTimeout *
+                   (1U << std::min(CountIt->second, MaxStallDoublings));
+}
+
 void Dispatcher::resolveMissingRuns(WorkerState &Worker,
                                     const std::set<TaskRef> &ReportedTasks,
                                     Instant SentAt) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
@@ -86,12 +86,19 @@
   auto operator<=>(const Deployment &) const = default;
 };
 
+/// Bounds of the time allowed for a worker's reply to an order.
+inline constexpr Duration MinReplyTimeout = std::chrono::milliseconds(400);
+inline constexpr Duration MaxReplyTimeout = std::chrono::milliseconds(1600);
+
 /// Where a worker takes orders.
 struct WorkerAddress {
   std::string Ip;
   std::uint16_t Port = 0;
   /// The intended worker; another worker at the address refuses the order.
   std::string WorkerId;
+  /// An order without a reply within this time counts as unanswered; that of a
+  /// long poll is added.
+  Duration ReplyTimeout = MinReplyTimeout;
 
   auto operator<=>(const WorkerAddress &) const = default;
 };
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -48,7 +48,8 @@
   /// Time from a reply to the next renewal for a worker with runs, so that ends
   /// are reported in batches.
   Duration RenewalPeriod = std::chrono::milliseconds(20);
-  /// A run without progress for this long is stopped.
+  /// A run without progress for this long is stopped, unless its task is
+  /// expected to take long.
   Duration StallTimeout = std::chrono::milliseconds(2500);
   /// How long the state of a closed job is kept.
   Duration StatusRetention = std::chrono::seconds(120);
@@ -143,6 +144,8 @@
   static void releaseClaim(WorkerState &Worker, RunState &Run);
   /// Resources that a run claims. Best-effort tasks claim no CPU.
   static Resources claimFor(const jobs::StepSpec &Step);
+  /// Time without progress after which a new run of the task counts as stalled.
+  Duration stallTimeout(const TaskRef &Task, const jobs::StepSpec &Step) const;
   /// Counts consecutive failures, after which the worker is avoided.
   void updateWorkerHealth(WorkerState &Worker, const TaskRef &Task,
                           jobs::RunOutcome End);
@@ -157,6 +160,8 @@
   /// Switches to another incarnation of the worker; runs of earlier ones are
   /// lost.
   void setWorkerInstance(WorkerState &Worker, std::int64_t Incarnation);
+  /// Learns from a reply how long to wait for the next ones.
+  void adjustReplyTimeout(WorkerState &Worker, Instant SentAt) const;
   void processEndedRuns(WorkerState &Worker, const RenewReport &Report);
   /// Handles the end of a run that is no longer tracked, such as one that was
   /// declared lost.
@@ -241,6 +246,8 @@
   // The worker on which the last run of a task failed or stalled, so that the
   // next run prefers another one.
   std::map<TaskRef, std::string> LastFailedWorker;
+  // How often the runs of a task have stalled.
+  std::map<TaskRef, unsigned> StallCounts;
   // The workers of runs in phase Ending.
   std::unordered_map<TaskRef, std::string> WorkerOfEndingRun;
   // When steps were first found to have tasks that no usable worker can take.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -47,6 +47,10 @@
   Instant StartedAt{};
   unsigned Percent = 0;
   Instant PercentChangedAt{};
+  /// The longest time that the run took from one percentage to the next.
+  Duration LongestPercentTime{};
+  /// The run counts as stalled after this time without progress.
+  Duration StallTimeout{};
   std::int64_t Gauge = 0;
   std::string Checkpoint;
   /// Ticket of the permit for the placement; empty without a policy.
@@ -73,6 +77,12 @@
   /// An order that ends all of its runs is open for its host.
   bool HostOrderPending = false;
   bool RenewalInFlight = false;
+  /// Long-poll time of the last renewal.
+  Duration RenewalWait{};
+  /// Consecutive renewals without a reply.
+  unsigned UnansweredRenewals = 0;
+  /// Time allowed for a reply, from the delays of recent replies.
+  Duration ReplyTimeout = MinReplyTimeout;
   Instant NextRenewalAt{};
   Instant LastReportAt{};
   WorkerClock Clock{};
@@ -116,6 +126,15 @@
   /// Whether best-effort tasks share the worker with serving tasks, so that the
   /// tails of the serving tasks control the pace of the best-effort tasks.
   bool hasBestEffortNextToServing() const;
+  /// The address for the next order, with the time allowed for its reply.
+  WorkerAddress address() const {
+    WorkerAddress Address = Record.Address;
+    // A worker that is silent may be slow: every second retry waits longer.
+    Address.ReplyTimeout = UnansweredRenewals > 0 && UnansweredRenewals % 2 == 0
+                               ? MaxReplyTimeout
+                               : ReplyTimeout;
+    return Address;
+  }
   /// Whether new work may be placed on the worker.
   bool isUsable(Instant Now) const {
     return IsRegistered && HasReported && !IsUnresponsive && !IsCordoned &&
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -68,6 +68,32 @@
   BOOST_TEST(joinLines(Sim.violations()) == "");
 }
 
+BOOST_AUTO_TEST_CASE(AWorkerThatIsSlowToReportKeepsItsRuns) {
+  Simulation Sim(2);
+  jobs::JobSpec Spec = simpleJob(4);
+  Spec.Steps.front().LongRunning = true;
+  Sim.submit("lasting", Spec);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.RunDuration = 8s;
+  }
+  Sim.submit("long", simpleJob(2));
+  Sim.run(1s);
+  // Each reply takes longer than the usual time allowed for it.
+  Sim.ReplyDelay = 700ms;
+  Sim.run(20s);
+  BOOST_TEST(Sim.countStarts("lasting") == 4);
+  BOOST_TEST(Sim.countStarts("long") == 2);
+  // New work is started, and not stopped as unanswered.
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.RunDuration = 400ms;
+  }
+  Sim.submit("later", simpleJob(2));
+  Sim.run(5s);
+  BOOST_TEST(Sim.countStarts("later") == 2);
+  BOOST_TEST((Sim.job("later").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(AStartWithoutReplyIsResolvedBeforeTheNextRun) {
   Simulation Sim(2);
   bool IsFirstStart = true;
@@ -180,6 +206,22 @@
   BOOST_TEST(joinLines(Sim.violations()) == "");
 }
 
+BOOST_AUTO_TEST_CASE(ALongTaskIsNotStalledBetweenTwoPercentages) {
+  constexpr Duration RunDuration = 400s; // four seconds a percent
+  for (const Duration Estimate : {Duration(RunDuration), Duration(400ms)}) {
+    Simulation Sim(2);
+    for (FakeWorker &Worker : Sim.Workers) {
+      Worker.RunDuration = RunDuration;
+    }
+    jobs::JobSpec Spec = simpleJob(1);
+    Spec.Steps.front().EstimatedRunTime = Estimate;
+    Sim.submit("a", Spec);
+    Sim.run(RunDuration + 20s);
+    BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+    BOOST_TEST(Sim.countStarts("a") <= (Estimate == RunDuration ? 1U : 2U));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NothingStartsBeforeItsRecord) {
   Simulation Sim(2);
   Sim.submit("a", simpleJob(2));
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -14,7 +14,6 @@
 
 constexpr Duration TimeStep = std::chrono::milliseconds(5);
 constexpr Duration NetworkDelay = std::chrono::milliseconds(1);
-constexpr Duration ReplyTimeout = std::chrono::milliseconds(400);
 const PoolName TestPool("pool");
 const QueueName TestQueue("queue");
 
@@ -325,7 +324,11 @@
 }
 
 void Simulation::send(const WorkerOrder &Order) {
-  const bool ReplyLost = LosesAnswer && LosesAnswer(Order);
+  const Duration ReplyTimeout = std::visit(
+      [](const auto &TypedOrder) { return TypedOrder.Worker.ReplyTimeout; },
+      Order);
+  const bool ReplyLost =
+      (LosesAnswer && LosesAnswer(Order)) || ReplyDelay > ReplyTimeout;
   const std::optional<Duration> ExtraDelay =
       OrderDelay ? OrderDelay(Order) : std::optional<Duration>();
   const Duration Delay = ExtraDelay.value_or(NetworkDelay);
@@ -344,7 +347,7 @@
     return;
   }
   // The sender gives up waiting for a reply.
-  schedule(ReplyTimeout, [this, Order, SenderTerm = Term] {
+  schedule(ReplyTimeout, [this, Order, ReplyTimeout, SenderTerm = Term] {
     if (SenderTerm != Term) {
       return;
     }
@@ -363,6 +366,18 @@
   });
 }
 
+void Simulation::reply(std::function<void()> Receive) {
+  if (ReplyDelay == Duration::zero()) {
+    Receive();
+    return;
+  }
+  schedule(ReplyDelay, [this, SenderTerm = Term, Receive = std::move(Receive)] {
+    if (SenderTerm == Term) {
+      Receive();
+    }
+  });
+}
+
 void Simulation::deliver(const WorkerOrder &Order, std::uint64_t SenderTerm,
                          std::int64_t IntendedIncarnation, bool SendsReply) {
   // A later incarnation of the worker refuses orders for an earlier one.
@@ -384,8 +399,9 @@
       Report = Worker.renew(*Renew, Time.now(), Outcome, Observed);
     }
     if (ReplyArrives) {
-      JobDispatcher->handleRenewReply(Renew->Worker.WorkerId, SentAt, Outcome,
-                                      Report);
+      reply([this, Id = Renew->Worker.WorkerId, SentAt, Outcome, Report] {
+        JobDispatcher->handleRenewReply(Id, SentAt, Outcome, Report);
+      });
     }
   } else if (const auto *Start = std::get_if<StartOrder>(&Order)) {
     FakeWorker &Worker = *find(Start->Worker.WorkerId);
@@ -395,7 +411,9 @@
                              Observed);
     }
     if (ReplyArrives) {
-      JobDispatcher->handleStartReply(*Start, Outcome);
+      reply([this, Start = *Start, Outcome] {
+        JobDispatcher->handleStartReply(Start, Outcome);
+      });
     }
   } else if (const auto *Stop = std::get_if<StopOrder>(&Order)) {
     FakeWorker &Worker = *find(Stop->Worker.WorkerId);
@@ -404,7 +422,9 @@
       Outcome = Worker.stop(*Stop, Time.now(), Observed);
     }
     if (ReplyArrives) {
-      JobDispatcher->handleStopReply(*Stop, Outcome);
+      reply([this, Stop = *Stop, Outcome] {
+        JobDispatcher->handleStopReply(Stop, Outcome);
+      });
     }
   } else {
     const auto &Pace = std::get<PaceOrder>(Order);
@@ -414,7 +434,9 @@
       Outcome = Worker.pace(Pace);
     }
     if (ReplyArrives) {
-      JobDispatcher->handlePaceReply(Pace, Outcome);
+      reply([this, Pace, Outcome] {
+        JobDispatcher->handlePaceReply(Pace, Outcome);
+      });
     }
   }
 }
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -133,6 +133,8 @@
   /// delay after which an order is delivered while its sender gets no reply.
   std::function<bool(const WorkerOrder &)> LosesAnswer;
   std::function<std::optional<Duration>(const WorkerOrder &)> OrderDelay;
+  /// Time from the execution of an order to the arrival of its reply.
+  Duration ReplyDelay{};
   std::mt19937_64 Random;
   /// Replies to permit queries; a result without a value means no reply.
   std::function<std::optional<PermitReply>(const PermitQuery &)> Policy;
@@ -150,6 +152,8 @@
   void send(const WorkerOrder &Order);
   void deliver(const WorkerOrder &Order, std::uint64_t SenderTerm,
                std::int64_t IntendedIncarnation, bool SendsReply);
+  /// Delivers a reply after ReplyDelay.
+  void reply(std::function<void()> Receive);
   FakeWorker *find(const std::string &Id);
   void schedule(Duration Delay, std::function<void()> Action);
   bool isLongRunning(const TaskRef &Task) const;
