control: A record without a reply is soon sent again

Load pattern: single answers of the store are lost. The record is sent again after four times the usual time of a reply, 40 ms at least, then after twice as long each time; it has the same number and conditions, so it is written once, and a reply of any attempt settles it. Only the newest attempt is repeated.

The test fails without the change. A warning of the linter in AdapterTest is mended: two raw strings became whole lines.

--- a/Source/Control/Journal.cpp
+++ b/Source/Control/Journal.cpp
@@ -16,7 +16,15 @@
 constexpr std::string_view KeyPrefix = "journal/";
 constexpr int HexBase = 16;
 constexpr Duration RetryDelay = std::chrono::milliseconds(40);
-/// Time allowed for the reply to an attempt before it is repeated.
+/// An attempt without a reply is repeated after this many times the usual time
+/// of a reply, within the bounds, and twice as long after each further one.
+constexpr int PatienceFactor = 4;
+constexpr Duration MinPatience = std::chrono::milliseconds(40);
+constexpr Duration MaxPatience = std::chrono::milliseconds(900);
+constexpr unsigned MaxPatienceDoublings = 5;
+/// Weight of a new reply in the moving average is one in this many.
+constexpr int ReplyTimeWeight = 8;
+/// Minimum age of an attempt that is repeated because the store answers again.
 constexpr Duration MinAttemptTime = std::chrono::milliseconds(200);
 /// Leaves room in MaxTransactionEntries for the two conditions and the record.
 constexpr std::size_t MaxRemovalsPerAppend = MaxTransactionEntries - 4;
@@ -130,16 +138,37 @@
 }
 
 void Journal::sendAppend(const std::shared_ptr<PendingAppend> &Pending) {
-  ++Pending->Attempts;
+  const unsigned Attempt = ++Pending->Attempts;
   LastSentAt = Time.now();
-  Store.commit(Pending->Request, [this, Pending, CallGeneration = *Generation,
+  Store.commit(Pending->Request, [this, Pending, Attempt, SentAt = LastSentAt,
+                                  CallGeneration = *Generation,
                                   CurrentGeneration = Generation](
                                      const TransactionReply &Reply) {
     // Another attempt may have settled the append.
     if (CallGeneration == *CurrentGeneration && InFlight == Pending) {
-      handleReply(Pending, Reply);
+      handleReply(Pending, Attempt, SentAt, Reply);
     }
   });
+  // The reply may be lost. A repeated record is written once.
+  const Duration Patience = std::min<Duration>(
+      MaxPatience,
+      std::max<Duration>(MinPatience, UsualReplyTime * PatienceFactor) *
+          (1U << std::min(Attempt - 1, MaxPatienceDoublings)));
+  scheduleResend(Pending, Patience);
+}
+
+void Journal::scheduleResend(const std::shared_ptr<PendingAppend> &Pending,
+                             Duration Delay) {
+  Loop.after(Delay,
+             [this, Pending, Attempts = Pending->Attempts,
+              CallGeneration = *Generation, CurrentGeneration = Generation] {
+               // A newer attempt has a timer of its own.
+               if (CallGeneration == *CurrentGeneration &&
+                   InFlight == Pending && Pending->Attempts == Attempts) {
+                 Pending->MayBeWritten = true;
+                 sendAppend(Pending);
+               }
+             });
 }
 
 void Journal::retryUnanswered() {
@@ -150,8 +179,12 @@
 }
 
 void Journal::handleReply(const std::shared_ptr<PendingAppend> &Pending,
+                          unsigned Attempt, Instant SentAt,
                           const TransactionReply &Reply) {
   bool IsWritten = Reply.Status.ok();
+  if (IsWritten || absl::IsAborted(Reply.Status)) {
+    UsualReplyTime += (Time.now() - SentAt - UsualReplyTime) / ReplyTimeWeight;
+  }
   if (absl::IsAborted(Reply.Status)) {
     // An earlier attempt whose reply was lost may have written the record: it
     // has the same value then. Writes of other leaders fail their conditions.
@@ -181,17 +214,14 @@
     Pending->Callback(AppendResult::NotWritten);
     return;
   }
-  if (Pending->Attempts == 1) {
+  if (Attempt == 1) {
     Log.write(LogLevel::Warning, "journal-delayed",
               {{"record", Pending->Number},
                {"why", std::string(Reply.Status.message())}});
   }
-  Loop.after(RetryDelay, [this, Pending, CallGeneration = *Generation,
-                          CurrentGeneration = Generation] {
-    if (CallGeneration == *CurrentGeneration && InFlight == Pending) {
-      sendAppend(Pending);
-    }
-  });
+  if (Attempt == Pending->Attempts) {
+    scheduleResend(Pending, RetryDelay);
+  }
 }
 
 } // namespace balsamlatch::control
--- a/Source/Control/include/balsamlatch/Control/Journal.h
+++ b/Source/Control/include/balsamlatch/Control/Journal.h
@@ -72,7 +72,11 @@
   void loadPage(jobs::JobTable &Table, const std::string &AfterKey,
                 std::function<void(absl::Status)> Callback);
   void sendAppend(const std::shared_ptr<PendingAppend> &Pending);
+  /// Sends another attempt after the delay unless one was sent in between.
+  void scheduleResend(const std::shared_ptr<PendingAppend> &Pending,
+                      Duration Delay);
   void handleReply(const std::shared_ptr<PendingAppend> &Pending,
+                   unsigned Attempt, Instant SentAt,
                    const TransactionReply &Reply);
 
   EventLoop &Loop;
@@ -83,6 +87,8 @@
   std::shared_ptr<PendingAppend> InFlight;
   Instant AppendStartedAt{};
   Instant LastSentAt{};
+  /// Moving average of the time of the store's replies to appends.
+  Duration UsualReplyTime = std::chrono::milliseconds(10);
   std::uint64_t NextNumber = 1;
   /// Records with lower numbers have been removed.
   std::uint64_t OldestNumber = 1;
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -433,6 +433,28 @@
   BOOST_TEST(FirstEntry->jobTable().jobs().size() == JobCount);
 }
 
+BOOST_FIXTURE_TEST_CASE(AnAppendWhoseReplyIsLostIsSoonRepeated,
+                        JournalFixture) {
+  append("a");
+  Store.CommitReplyDelay = 1500ms; // The connection has gone silent.
+  std::optional<Journal::AppendResult> Result;
+  JobJournal.append(leaderCondition(), std::vector{acceptedEvent("b")},
+                    [&](Journal::AppendResult Outcome) { Result = Outcome; });
+  Store.CommitReplyDelay = 1ms;
+  runFor(200ms);
+  BOOST_REQUIRE(Result.has_value());
+  BOOST_TEST((*Result == Journal::AppendResult::Written));
+  // A store that is slow but answers is not asked again and again.
+  Store.CommitReplyDelay = 30ms;
+  for (int Number = 0; Number < 20; ++Number) {
+    append(fmt::format("c{}", Number));
+  }
+  const unsigned CommitsBefore = Store.Commits;
+  Store.CommitReplyDelay = 60ms;
+  append("d");
+  BOOST_TEST(Store.Commits == CommitsBefore + 1);
+}
+
 BOOST_FIXTURE_TEST_CASE(AnUnansweredAppendIsRepeatedOnceTheStoreAnswers,
                         ElectionFixture) {
   auto FirstEntry = startEntry("one");
--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -41,27 +41,26 @@
 }
 
 BOOST_AUTO_TEST_CASE(InvalidJobsAreRejectedWithAMessage) {
-  for (const char *InvalidJob :
-       {"", "{", "[]", "7", R"({"spec":"s"})", R"({"spec":"s","steps":[]})",
-        R"({"spec":1,"steps":[{"count":1}]})",
-        R"({"spec":"s","steps":[{"count":0}]})",
-        R"({"spec":"s","steps":[{"count":-1}]})",
-        R"({"spec":"s","steps":[{"count":99999999}]})",
-        R"({"spec":"s","steps":[{"count":1,"after":[0]}]})",
-        R"({"spec":"s","steps":[{"count":1,"after":[5]}]})",
-        R"({"spec":"s","steps":[{"count":1,"cpu":-5}]})",
-        R"({"spec":"s","steps":[{"count":1,"cpu":"much"}]})",
-        R"({"spec":"s","steps":[{"count":1,"estimated_ms":1e300}]})",
-        R"({"spec":"s","steps":{"count":1}})",
-        // Their sums and products would overflow, or planning them would not
-        // end.
-        R"({"spec":"s","steps":[{"count":1,"cpu":9223372036854775807}]})",
-        R"({"spec":"s","steps":[{"count":1,"estimated_ms":1e14}]})",
-        R"({"spec":"s","steps":[{"count":1}],"repeat_count":4294967295})",
-        R"({"spec":"s","steps":[{"count":1}],"repeat_count":9,)"
-        R"("first_run_ms":1e14})",
-        R"({"spec":"s","steps":[{"count":1}],"repeat_count":9,)"
-        R"("interval_ms":9e14})"}) {
+  for (
+      const char *InvalidJob :
+      {"", "{", "[]", "7", R"({"spec":"s"})", R"({"spec":"s","steps":[]})",
+       R"({"spec":1,"steps":[{"count":1}]})",
+       R"({"spec":"s","steps":[{"count":0}]})",
+       R"({"spec":"s","steps":[{"count":-1}]})",
+       R"({"spec":"s","steps":[{"count":99999999}]})",
+       R"({"spec":"s","steps":[{"count":1,"after":[0]}]})",
+       R"({"spec":"s","steps":[{"count":1,"after":[5]}]})",
+       R"({"spec":"s","steps":[{"count":1,"cpu":-5}]})",
+       R"({"spec":"s","steps":[{"count":1,"cpu":"much"}]})",
+       R"({"spec":"s","steps":[{"count":1,"estimated_ms":1e300}]})",
+       R"({"spec":"s","steps":{"count":1}})",
+       // Their sums and products would overflow, or planning them would not
+       // end.
+       R"({"spec":"s","steps":[{"count":1,"cpu":9223372036854775807}]})",
+       R"({"spec":"s","steps":[{"count":1,"estimated_ms":1e14}]})",
+       R"({"spec":"s","steps":[{"count":1}],"repeat_count":4294967295})",
+       R"({"spec":"s","steps":[{"count":1}],"repeat_count":9,"first_run_ms":1e14})",
+       R"({"spec":"s","steps":[{"count":1}],"repeat_count":9,"interval_ms":9e14})"}) {
     const auto Job = decodeJob(InvalidJob);
     BOOST_TEST(!Job.ok(), InvalidJob);
     BOOST_TEST(!Job.status().message().empty());
