--- a/Source/Control/JobController.cpp
+++ b/Source/Control/JobController.cpp
@@ -10,6 +10,10 @@
 
 constexpr Duration AcquireRetryDelay = std::chrono::milliseconds(150);
 constexpr Duration LoadRetryDelay = std::chrono::milliseconds(100);
+/// An elected entry that has failed to read the journal this often steps down,
+/// and takes part in no election for a while.
+constexpr unsigned MaxFailedLoads = 2;
+constexpr Duration FailedLoadBackoff = std::chrono::seconds(3);
 /// Safety margin before the lease's expiry; covers the network delay of the
 /// store's reply.
 constexpr Duration LeaseMargin = std::chrono::milliseconds(100);
@@ -84,7 +88,8 @@
   if (State != Following || ElectionDelayed) {
     return;
   }
-  const Duration Delay = Registry.electionDelay();
+  const Duration Delay =
+      std::max<Duration>(Registry.electionDelay(), NextElectionAt - Time.now());
   if (Delay == Duration::zero()) {
     acquireLease();
     return;
@@ -101,7 +106,8 @@
 
 LeaderView JobController::leaderView() const {
   return {KnownLeader, LatestToken,
-          State == Following && ElectionMirror.isStoreReachable()};
+          State == Following && ElectionMirror.isStoreReachable() &&
+              Time.now() >= NextElectionAt};
 }
 
 void JobController::mergeLeaderView(const LeaderView &View) {
@@ -114,7 +120,7 @@
 }
 
 void JobController::yieldLeadership() {
-  if (State == Leading) {
+  if (isElected()) {
     stepDown("a stronger entry can lead");
   }
 }
@@ -178,6 +184,7 @@
     LatestToken = Token;
     KnownLeader = Settings.Self;
     LastStoreContact = SentAt;
+    FailedLoads = 0;
     ++TermNumber;
     Log.write(LogLevel::Info, "lead-taken", {{"token", Token}});
     Loop.after(Settings.RenewPeriod, [this, Term = TermNumber] {
@@ -200,6 +207,12 @@
                     if (!Status.ok()) {
                       Log.write(LogLevel::Warning, "journal-unread",
                                 {{"why", std::string(Status.message())}});
+                      if (++FailedLoads >= MaxFailedLoads) {
+                        // Another entry may have a faster link to the store.
+                        NextElectionAt = Time.now() + FailedLoadBackoff;
+                        stepDown("the journal could not be read");
+                        return;
+                      }
                       Loop.after(LoadRetryDelay, [this, Term] {
                         if (Term == TermNumber && State == Loading) {
                           loadJournal();
--- a/Source/Control/LeaderFinder.cpp
+++ b/Source/Control/LeaderFinder.cpp
@@ -98,7 +98,7 @@
 }
 
 void LeaderFinder::offerLeadership() {
-  if (!LocalController.isLeading()) {
+  if (!LocalController.isElected()) {
     return;
   }
   const std::vector<EntryRecord> &OtherEntries =
--- a/Source/Control/include/balsamlatch/Control/JobController.h
+++ b/Source/Control/include/balsamlatch/Control/JobController.h
@@ -78,6 +78,8 @@
   void yieldLeadership();
   const EntryRegistry &registry() const { return Registry; }
   bool isLeading() const { return State == Leading; }
+  /// Whether this entry is the leader or reads the journal in order to lead.
+  bool isElected() const { return State == Leading || State == Loading; }
   /// Whether this entry leads and its lease can't have expired yet.
   bool holdsLease() const;
   dispatch::FencingToken token() const { return dispatch::FencingToken(Token); }
@@ -168,6 +170,10 @@
   std::uint64_t LatestToken = 0;
   // There is no leader, and this entry waits for its election delay to pass.
   bool ElectionDelayed = false;
+  // Attempts to read the journal in this term that failed.
+  unsigned FailedLoads = 0;
+  // This entry leaves leadership to others until then.
+  Instant NextElectionAt{};
   std::uint64_t LeaseId = 0;
   /// Revision of the leader's key in this entry's current or last term; serves
   /// as the fencing token.
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -292,6 +292,17 @@
   BOOST_TEST(FirstEntry->dispatcher().workers().empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(AnEntryThatCannotReadTheJournalLetsAnotherLead,
+                        ElectionFixture) {
+  Store.JournalListsToFail = 2; // As over a link that is too slow.
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isElected(); }));
+  auto SecondEntry = startEntry("two");
+  BOOST_TEST(runUntil([&] { return SecondEntry->isLeading(); }));
+  BOOST_TEST(!FirstEntry->isElected());
+  BOOST_TEST(!FirstEntry->leaderView().CanLead);
+}
+
 BOOST_FIXTURE_TEST_CASE(ALeaseThatExpiredBeforeItsReplyIsNotUsed,
                         ElectionFixture) {
   Store.GrantReplyDelay = 950ms; // As after a pause of the process.
--- a/Tests/Control/FakeStore.cpp
+++ b/Tests/Control/FakeStore.cpp
@@ -23,6 +23,10 @@
   PageReply Reply;
   Reply.Status = IsUnavailable ? unavailableError() : absl::OkStatus();
   Reply.Revision = Revision;
+  if (Prefix.starts_with("journal") && JournalListsToFail > 0) {
+    --JournalListsToFail;
+    Reply.Status = absl::DeadlineExceededError("no answer");
+  }
   for (const auto &[Key, Item] : Items) {
     if (IsUnavailable || !Key.starts_with(Prefix) ||
         (!AfterKey.empty() && Key <= AfterKey)) {
--- a/Tests/Control/FakeStore.h
+++ b/Tests/Control/FakeStore.h
@@ -39,6 +39,8 @@
   unsigned RepliesToLose = 0;
   /// Number of coming writes that time out and are applied after a later write.
   unsigned WritesToDelay = 0;
+  /// Number of coming lists of journal records that fail.
+  unsigned JournalListsToFail = 0;
   /// Number of coming lease renewals that get no reply.
   unsigned RenewalsToIgnore = 0;
   /// Time after which the replies to lease grants and writes arrive.
