dispatch, control: One place makes a run's state; remove what nothing uses

- PoolPlan::PoolSize repeated two members of the planner's balances; the plan now holds the balances.
- RefusedRequests::size had no caller; MaxAppendTime is used by JobController only.

--- a/Source/Control/include/balsamlatch/Control/JobController.h
+++ b/Source/Control/include/balsamlatch/Control/JobController.h
@@ -95,13 +95,13 @@
   /// Called when a term of this entry begins or ends.
   std::function<void(bool Leading)> OnLeadershipChanged;
 
+private:
+  enum ElectionState { Following, Acquiring, Loading, Leading, Retired };
+
   /// The store counts as unavailable once it hasn't recorded a batch within
   /// this time.
   static constexpr Duration MaxAppendTime = std::chrono::milliseconds(450);
 
-private:
-  enum ElectionState { Following, Acquiring, Loading, Leading, Retired };
-
   void handleElectionChange();
   void updateLeader(const EntryRecord &Record, std::uint64_t LeaderToken);
   void handleVacantLeadership();
--- a/Source/Control/include/balsamlatch/Control/RefusedRequests.h
+++ b/Source/Control/include/balsamlatch/Control/RefusedRequests.h
@@ -21,7 +21,6 @@
   bool contains(const std::string &RequestId) const {
     return Ids.contains(RequestId);
   }
-  std::size_t size() const { return Ids.size(); }
 
 private:
   struct Refusal {
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -121,25 +121,18 @@
         Worker.Record.Instance.Id = Task.Worker.Id;
         Worker.Record.Instance.Incarnation = std::max(
             Worker.Record.Instance.Incarnation, Task.Worker.Incarnation);
-        RunState Run;
-        Run.Number = Task.Run;
+        const TaskRef Placed{Job.id(), Occurrence, Step, Index};
+        RunState Run = makeRun(Placed, Job.spec().Steps[Step], Task.Run,
+                               Task.Worker.Incarnation);
         Run.Phase = RunPhase::Uncertain;
         Run.FromEarlierTerm = true;
-        Run.WorkerIncarnation = Task.Worker.Incarnation;
-        const jobs::StepSpec &Spec = Job.spec().Steps[Step];
-        Run.Claim = claimFor(Spec);
-        Run.LongRunning = Spec.LongRunning;
-        Run.BestEffort = Spec.BestEffort;
-        Run.TailObjective = Spec.TailObjective;
-        Run.StallTimeout =
-            stallTimeout({Job.id(), Occurrence, Step, Index}, Spec);
         if (Run.BestEffort) {
           Run.Pace.reset();
           Worker.TargetPace = {AdoptedPacePercent, TermStart};
         }
         Run.StopRequested = !Job.isOpen();
         Worker.ClaimedResources += Run.Claim;
-        Worker.Runs[{Job.id(), Occurrence, Step, Index}] = Run;
+        Worker.Runs[Placed] = Run;
         Worker.LeasesExpireAt = TermStart + Settings.StoreOutageRenewal;
         extendLeaseExpiry(Worker, Worker.LeasesExpireAt);
       }
@@ -147,6 +140,20 @@
   }
 }
 
+RunState Dispatcher::makeRun(const TaskRef &Task, const jobs::StepSpec &Step,
+                             std::uint32_t Number,
+                             std::int64_t WorkerIncarnation) const {
+  RunState Run;
+  Run.Number = Number;
+  Run.WorkerIncarnation = WorkerIncarnation;
+  Run.Claim = claimFor(Step);
+  Run.LongRunning = Step.LongRunning;
+  Run.BestEffort = Step.BestEffort;
+  Run.TailObjective = Step.TailObjective;
+  Run.StallTimeout = stallTimeout(Task, Step);
+  return Run;
+}
+
 Resources Dispatcher::claimFor(const jobs::StepSpec &Step) {
   Resources Claim = Step.RequestedResources;
   if (Step.BestEffort) {
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -395,14 +395,8 @@
 void Dispatcher::proposePlacement(const WaitingStep &Candidate, unsigned Index,
                                   WorkerState &Worker, std::uint32_t Run) {
   const TaskRef Task = Candidate.task(Index);
-  RunState NewRun;
-  NewRun.Number = Run;
-  NewRun.WorkerIncarnation = Worker.Record.Instance.Incarnation;
-  NewRun.Claim = claimFor(Candidate.spec());
-  NewRun.LongRunning = Candidate.spec().LongRunning;
-  NewRun.BestEffort = Candidate.spec().BestEffort;
-  NewRun.TailObjective = Candidate.spec().TailObjective;
-  NewRun.StallTimeout = stallTimeout(Task, Candidate.spec());
+  RunState NewRun =
+      makeRun(Task, Candidate.spec(), Run, Worker.Record.Instance.Incarnation);
   if (const std::string *Ticket = Permits.findTicket(
           stepOf(Task), Worker.Record.Instance, Time.now())) {
     NewRun.Ticket = *Ticket;
--- a/Source/Dispatch/PoolPlanner.cpp
+++ b/Source/Dispatch/PoolPlanner.cpp
@@ -182,9 +182,7 @@
   std::sort(Hosts.begin(), Hosts.end(), isCheaperToTake);
   PoolPlan Plan;
   limitToFairShares(PoolBalances, Settings.MinHosts);
-  for (const auto &[Name, PoolBalance] : PoolBalances) {
-    Plan.Sizes[Name] = {PoolBalance.HostCount, PoolBalance.DesiredHosts};
-  }
+  Plan.Sizes = PoolBalances;
   coverShortages(PoolBalances, Hosts, Plan);
   if (!StandbyPool.empty()) {
     releaseSurplus(Now, StandbyPool, PoolBalances, Hosts, Plan);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -142,6 +142,9 @@
   void proposeEnd(WorkerState &Worker, const TaskRef &Task, RunState &Run,
                   jobs::RunOutcome End, const std::string &Checkpoint);
   static void releaseClaim(WorkerState &Worker, RunState &Run);
+  /// A run with what its step says of it, in phase Proposed.
+  RunState makeRun(const TaskRef &Task, const jobs::StepSpec &Step,
+                   std::uint32_t Number, std::int64_t WorkerIncarnation) const;
   /// Resources that a run claims. Best-effort tasks claim no CPU.
   static Resources claimFor(const jobs::StepSpec &Step);
   /// Time without progress after which a new run of the task counts as stalled.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
@@ -62,29 +62,7 @@
   unsigned MinHosts = 2;
 };
 
-/// Moves and drains that are due now.
-struct PoolPlan {
-  struct HostMove {
-    HostName Host;
-    PoolName TargetPool;
-
-    auto operator<=>(const HostMove &) const = default;
-  };
-
-  std::vector<HostMove> Moves;
-  /// Hosts that must drain before they can move.
-  std::vector<HostMove> Drains;
-
-  /// Size of a pool when the plan was made.
-  struct PoolSize {
-    unsigned HostCount = 0;
-    unsigned DesiredHosts = 0;
-
-    auto operator<=>(const PoolSize &) const = default;
-  };
-
-  std::map<PoolName, PoolSize> Sizes;
-};
+struct PoolPlan;
 
 /// Sizes the pools, keeping recent demand between calls of plan().
 class PoolPlanner {
@@ -133,6 +111,23 @@
   std::map<PoolName, PoolHistory> HistoryByPool;
 };
 
+/// Moves and drains that are due now.
+struct PoolPlan {
+  struct HostMove {
+    HostName Host;
+    PoolName TargetPool;
+
+    auto operator<=>(const HostMove &) const = default;
+  };
+
+  std::vector<HostMove> Moves;
+  /// Hosts that must drain before they can move.
+  std::vector<HostMove> Drains;
+
+  /// The pools' sizes when the plan was made.
+  PoolPlanner::Balances Sizes;
+};
+
 } // namespace balsamlatch::dispatch
 
 #endif // BALSAMLATCH_DISPATCH_POOLPLANNER_H
