dispatch: A lost run says how long it had been on its worker, and beside how many

Callers saw tallies late and jobs that never ended while a task crashed each worker that started it. The lines couldn't tell whether one task was the cause: a run lost with its worker said neither how long the worker had lived after the start nor what else ran there, and a restart of the worker was not logged for the run at all.

run-lost now carries the task, how long before the worker's last report the run was ordered, the age of that report and the number of runs on the worker; it is also written when the worker comes back as another incarnation.

The logic is unchanged.

--- a/Source/Base/include/balsamlatch/Base/Clock.h
+++ b/Source/Base/include/balsamlatch/Base/Clock.h
@@ -6,6 +6,7 @@
 #define BALSAMLATCH_BASE_CLOCK_H
 
 #include <chrono>
+#include <cstdint>
 
 namespace balsamlatch {
 
@@ -21,6 +22,11 @@
 using WallTime = std::chrono::time_point<std::chrono::system_clock,
                                          std::chrono::microseconds>;
 
+/// Whole milliseconds, rounded towards zero.
+inline std::int64_t toMilliseconds(Duration Length) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
+}
+
 /// Source of time.
 class Clock {
 public:
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -203,6 +203,7 @@
   }
   for (auto &[Task, Run] : Worker.Runs) {
     if (Run.WorkerIncarnation < Incarnation) {
+      logLostRun(Worker, Task, Run, "its worker was started again");
       proposeEnd(Worker, Task, Run, RunOutcome::Lost, {});
     }
   }
@@ -385,15 +386,31 @@
     if (Run.Phase == RunPhase::Ending || Run.Phase == RunPhase::Proposed) {
       continue;
     }
-    Log.write(LogLevel::Info, "run-lost",
-              {{"job", Task.Job.Text},
-               {"worker", Worker.Record.Instance.Id},
-               {"run", Run.Number},
-               {"why", Reason}});
+    logLostRun(Worker, Task, Run, Reason);
     proposeEnd(Worker, Task, Run, RunOutcome::Lost, Run.Checkpoint);
   }
 }
 
+void Dispatcher::logLostRun(const WorkerState &Worker, const TaskRef &Task,
+                            const RunState &Run,
+                            std::string_view Reason) const {
+  // The last report bounds from below how long the worker lived after the
+  // start.
+  const Duration SeenFor = Run.OrderedAt == Instant()
+                               ? Duration::zero()
+                               : Worker.LastReportAt - Run.OrderedAt;
+  Log.write(
+      LogLevel::Info, "run-lost",
+      {{"job", Task.Job.Text},
+       {"task", taskPath(Task)},
+       {"worker", Worker.Record.Instance.Id},
+       {"run", Run.Number},
+       {"ordered_before_last_report_ms", toMilliseconds(SeenFor)},
+       {"report_age_ms", toMilliseconds(Time.now() - Worker.LastReportAt)},
+       {"runs_on_worker", Worker.Runs.size()},
+       {"why", Reason}});
+}
+
 WorkerState *Dispatcher::findWorker(const WorkerInstance &Instance) {
   const auto WorkerIt = Workers.find(Instance.Id);
   return WorkerIt == Workers.end() ||
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -19,10 +19,6 @@
 /// ended. A single list may have been taken before the worker started.
 constexpr unsigned MinListsWithoutHost = 2;
 
-std::int64_t toMilliseconds(Duration Length) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
-}
-
 } // namespace
 
 void Dispatcher::tick(bool MayPlace, bool MayRenew) {
@@ -170,6 +166,7 @@
   Order.Ticket = Run.Ticket;
   extendLeaseExpiry(Worker, Now);
   Run.Phase = RunPhase::Ordered;
+  Run.OrderedAt = Now;
   Log.write(LogLevel::Info, "run-ordered",
             {{"job", Task.Job.Text},
              {"task", taskPath(Task)},
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -160,6 +160,8 @@
   void closeIfDone(const JobId &Id);
   /// Declares all runs on the worker lost.
   void endAllAsLost(WorkerState &Worker, std::string_view Reason);
+  void logLostRun(const WorkerState &Worker, const TaskRef &Task,
+                  const RunState &Run, std::string_view Reason) const;
   /// Switches to another incarnation of the worker; runs of earlier ones are
   /// lost.
   void setWorkerInstance(WorkerState &Worker, std::int64_t Incarnation);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -43,6 +43,8 @@
   /// Started under a lower fencing token, so the worker refuses a start that
   /// arrives late.
   bool FromEarlierTerm = false;
+  /// When the start was ordered; unset for a run of an earlier term.
+  Instant OrderedAt{};
   /// When the run was first known to be running.
   Instant StartedAt{};
   unsigned Percent = 0;
