--- a/Tests/Dispatch/HistoryChecker.cpp
+++ b/Tests/Dispatch/HistoryChecker.cpp
@@ -16,6 +16,11 @@
 /// order may already be in flight.
 constexpr Duration CancelGracePeriod = std::chrono::seconds(3);
 
+/// A task that has crashed this many workers may be started only so often
+/// again, since a start may be in flight and crashes are noticed late.
+constexpr unsigned MaxCrashes = 3;
+constexpr unsigned MaxStartsAfterCrashes = 2;
+
 std::string taskName(const TaskRef &Task) {
   return fmt::format("{}.{}.{}.{}", Task.Job.Text, Task.Occurrence, Task.Step,
                      Task.Index);
@@ -24,6 +29,8 @@
 void checkTask(const std::vector<const RunTrace *> &Runs, unsigned MaxAttempts,
                bool LongRunning, std::vector<std::string> &Violations) {
   unsigned Failures = 0;
+  unsigned Crashes = 0;
+  unsigned StartsAfterCrashes = 0;
   const RunTrace *PreviousRun = nullptr;
   for (const RunTrace *Run : Runs) {
     const std::string Task = taskName(Run->Task);
@@ -44,7 +51,12 @@
       Violations.push_back(
           fmt::format("{} runs after its last allowed attempt", Task));
     }
+    if (Crashes >= MaxCrashes &&
+        ++StartsAfterCrashes == MaxStartsAfterCrashes + 1) {
+      Violations.push_back(fmt::format("{} crashes worker after worker", Task));
+    }
     Failures += Run->End == RunOutcome::Failed ? 1 : 0;
+    Crashes += Run->CrashedWorker ? 1 : 0;
     PreviousRun = Run;
   }
 }
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -14,6 +14,8 @@
 
 constexpr Duration TimeStep = std::chrono::milliseconds(5);
 constexpr Duration NetworkDelay = std::chrono::milliseconds(1);
+/// Time from the start of a run that crashes its worker to the crash.
+constexpr Duration CrashDelay = std::chrono::milliseconds(10);
 const PoolName TestPool("pool");
 const QueueName TestQueue("queue");
 
@@ -166,12 +168,16 @@
   }
 }
 
-void FakeWorker::crash(Instant Now, History &Observed) {
+void FakeWorker::endAll(Instant Now, History &Observed) {
   for (const auto &[Task, Run] : Runs) {
     Observed.Runs[Run.TraceIndex].EndedAt = Now;
     Observed.Runs[Run.TraceIndex].End = RunOutcome::Lost;
   }
   Runs.clear();
+}
+
+void FakeWorker::crash(Instant Now, History &Observed) {
+  endAll(Now, Observed);
   FinishedRuns.clear();
   Ends.clear();
   EndCount = 0;
@@ -409,6 +415,12 @@
     if (IsReachable(Worker, Outcome)) {
       Outcome = Worker.start(*Start, isLongRunning(Start->Task), Time.now(),
                              Observed);
+      if (Outcome == OrderOutcome::Done && CrashesWorker &&
+          CrashesWorker(Start->Task)) {
+        schedule(CrashDelay, [this, Order = *Start] {
+          crashUnderRun(Order.Worker.WorkerId, Order);
+        });
+      }
     }
     if (ReplyArrives) {
       reply([this, Start = *Start, Outcome] {
@@ -441,6 +453,27 @@
   }
 }
 
+void Simulation::crashUnderRun(const std::string &WorkerId,
+                               const StartOrder &Order) {
+  FakeWorker &Worker = *find(WorkerId);
+  const auto TraceIt = std::find_if(
+      Observed.Runs.rbegin(), Observed.Runs.rend(), [&](const RunTrace &Run) {
+        return Run.Task == Order.Task && Run.Run == Order.Run &&
+               Run.Worker == WorkerId;
+      });
+  if (TraceIt == Observed.Runs.rend() || TraceIt->EndedAt <= Time.now()) {
+    return; // the run has ended before
+  }
+  TraceIt->CrashedWorker = true;
+  Worker.endAll(Time.now(), Observed);
+  Worker.IsDown = true;
+  schedule(CrashDownTime, [this, WorkerId] {
+    FakeWorker &RestartedWorker = *find(WorkerId);
+    RestartedWorker.IsDown = false;
+    RestartedWorker.crash(Time.now(), Observed);
+  });
+}
+
 const jobs::Job &Simulation::job(const std::string &Id) const {
   return *Table.find(JobId(Id));
 }
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -27,6 +27,8 @@
   /// The leases of the worker expired before the end was acknowledged, so the
   /// lease holder may not have heard of the end in time.
   bool LeaseExpiredFirst = false;
+  /// The run crashed its worker.
+  bool CrashedWorker = false;
 };
 
 /// All runs in the order of their starts, and the results shown to callers.
@@ -39,8 +41,8 @@
 /// Returns the violations of the guarantees of the dispatcher: runs of a task
 /// don't overlap, run numbers grow, no task runs after it has completed or has
 /// used all attempts, a step starts after its predecessors have completed, all
-/// tasks of a job shown as completed have completed, and no run starts long
-/// after its job was cancelled.
+/// tasks of a job shown as completed have completed, no run starts long after
+/// its job was cancelled, and a task that crashes its workers is soon given up.
 std::vector<std::string>
 checkHistory(const History &Observed,
              const std::map<JobId, jobs::JobSpec> &Specs, unsigned MaxAttempts);
@@ -71,6 +73,8 @@
   /// Paces of the runs whose SpecText is "filler".
   std::map<TaskRef, unsigned> Paces;
   void advance(Instant Now, History &Observed);
+  /// All runs end without a trace on the worker, as in a crash.
+  void endAll(Instant Now, History &Observed);
   /// Loses all runs and state, and starts a new incarnation of the worker.
   void crash(Instant Now, History &Observed);
 
@@ -136,6 +140,10 @@
   /// Time from the execution of an order to the arrival of its reply.
   Duration ReplyDelay{};
   std::mt19937_64 Random;
+  /// Whether the task crashes each worker that starts it, and the time until
+  /// the worker is back.
+  std::function<bool(const TaskRef &)> CrashesWorker;
+  Duration CrashDownTime = std::chrono::seconds(3);
   /// Replies to permit queries; a result without a value means no reply.
   std::function<std::optional<PermitReply>(const PermitQuery &)> Policy;
   std::vector<PermitQuery> Queries;
@@ -156,6 +164,8 @@
   void reply(std::function<void()> Receive);
   FakeWorker *find(const std::string &Id);
   void schedule(Duration Delay, std::function<void()> Action);
+  /// Ends the worker process under the run, and starts it again later.
+  void crashUnderRun(const std::string &WorkerId, const StartOrder &Order);
   bool isLongRunning(const TaskRef &Task) const;
 
   std::map<JobId, jobs::JobSpec> Specs;
