dispatch, jobs: A task that crashes its workers is isolated and given up

Cause: a run that ends with its worker was recorded as lost, like one whose lease ran out, and a lost run counts as nothing. Nothing bounded the starts of a task under which workers crash, and the tasks lost with it were placed again together, on the fullest worker with room. Class: a retry without a budget of its own, on a failure that is not attributed to the request that causes it.

Ruled out: a worker or rack at fault (no worker was silent twice; each silence follows a start of the same few tasks by 9 to 40 ms).

Now an unplanned end of a worker is recorded as a crash for the runs on it. A run whose start is at most 100 ms older than the worker's last reply is a suspect: its next run is isolated, on a worker that is kept free for it. A crash counts once, or twice if no other run was on the worker; with a score of three the task is given up and its job fails. A crash that is noticed after the leases have expired is counted then.

Any reply, not only a report, now shows that a run has settled, and suspects run alone.

The histories now have deadly tasks too.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -35,6 +35,12 @@
     return "gang-broken";
   case RunOutcome::Refused:
     return "refused";
+  case RunOutcome::WorkerCrashed:
+    return "worker-crashed";
+  case RunOutcome::WorkerCrashedOnStart:
+    return "worker-crashed-on-start";
+  case RunOutcome::WorkerCrashedAlone:
+    return "worker-crashed-alone";
   }
   return "lost";
 }
@@ -84,6 +90,7 @@
   OpenJobs.clear();
   LastFailedWorker.clear();
   StallCounts.clear();
+  Isolation.clear();
   WorkerOfEndingRun.clear();
   UnplacedSince.clear();
   RequiredHosts.clear();
@@ -126,6 +133,7 @@
                                Task.Worker.Incarnation);
         Run.Phase = RunPhase::Uncertain;
         Run.FromEarlierTerm = true;
+        Run.HasSettled = true;
         if (Run.BestEffort) {
           Run.Pace.reset();
           Worker.TargetPace = {AdoptedPacePercent, TermStart};
@@ -201,12 +209,7 @@
   if (Worker.Record.Instance.Incarnation == Incarnation) {
     return;
   }
-  for (auto &[Task, Run] : Worker.Runs) {
-    if (Run.WorkerIncarnation < Incarnation) {
-      logLostRun(Worker, Task, Run, "its worker was started again");
-      proposeEnd(Worker, Task, Run, RunOutcome::Lost, {});
-    }
-  }
+  handleWorkerGone(Worker, Incarnation, "its worker was started again");
   if (Worker.Record.Instance.Incarnation != 0) {
     Log.write(LogLevel::Info, "worker-restarted",
               {{"worker", Worker.Record.Instance.Id},
@@ -294,6 +297,7 @@
   };
   std::erase_if(LastFailedWorker, IsOfJob);
   std::erase_if(StallCounts, IsOfJob);
+  Isolation.removeJob(Event.Job);
   ClosingJobs.erase(Event.Job);
   for (auto &[Id, Worker] : Workers) {
     for (auto &[Task, Run] : Worker.Runs) {
@@ -309,16 +313,19 @@
   if (Job == nullptr || !Job->isOpen() || ClosingJobs.contains(Id)) {
     return;
   }
-  jobs::JobState State = jobs::JobState::Running;
+  jobs::JobState State = jobs::JobState::Failed;
+  std::string_view Reason = "a task has used all attempts";
   if (Job->OpenTasks == 0) {
     State = jobs::JobState::Completed;
+    Reason = "all tasks are done";
+  } else if (Job->LargestCrashScore >= jobs::MaxCrashScore) {
+    Reason = "a task crashes the workers that start it";
   } else {
     const Queue *JobQueue =
         Config == nullptr ? nullptr : Config->find(Job->Record.Accepted.Queue);
     if (JobQueue == nullptr || Job->maxFailures() < JobQueue->MaxAttempts) {
       return;
     }
-    State = jobs::JobState::Failed;
   }
   ClosingJobs.insert(Id);
   Events.emplace_back(jobs::JobClosed{Id, State, Time.wallNow()});
@@ -326,7 +333,9 @@
       LogLevel::Info, "job-closed",
       {{"job", Id.Text},
        {"state", State == jobs::JobState::Completed ? "completed" : "failed"},
-       {"failures", Job->maxFailures()}});
+       {"why", Reason},
+       {"failures", Job->maxFailures()},
+       {"crash_score", Job->LargestCrashScore}});
 }
 
 void Dispatcher::releaseClaim(WorkerState &Worker, RunState &Run) {
@@ -391,6 +400,67 @@
   }
 }
 
+RunOutcome Dispatcher::crashOutcome(const WorkerState &Worker,
+                                    const RunState &Run) {
+  if (Run.HasSettled) {
+    // A long-running task meets crashes of other causes in its time.
+    return Run.LongRunning ? RunOutcome::Lost : RunOutcome::WorkerCrashed;
+  }
+  const auto OrderedRuns = std::count_if(
+      Worker.Runs.begin(), Worker.Runs.end(), [](const auto &RunEntry) {
+        return RunEntry.second.Phase != RunPhase::Ending &&
+               RunEntry.second.Phase != RunPhase::Proposed;
+      });
+  return OrderedRuns == 1 ? RunOutcome::WorkerCrashedAlone
+                          : RunOutcome::WorkerCrashedOnStart;
+}
+
+void Dispatcher::handleWorkerGone(WorkerState &Worker, std::int64_t Incarnation,
+                                  std::string_view Reason) {
+  const bool IsCrash = !Worker.isLeaving();
+  if (IsCrash) {
+    confirmPossibleCrashes(Worker);
+  }
+  std::vector<std::pair<TaskRef, RunOutcome>> Outcomes;
+  for (const auto &[Task, Run] : Worker.Runs) {
+    if (Run.WorkerIncarnation < Incarnation && Run.Phase != RunPhase::Ending) {
+      Outcomes.emplace_back(Task, IsCrash && Run.Phase != RunPhase::Proposed
+                                      ? crashOutcome(Worker, Run)
+                                      : RunOutcome::Lost);
+    }
+  }
+  for (const auto &[Task, Outcome] : Outcomes) {
+    RunState &Run = Worker.Runs.at(Task);
+    logLostRun(Worker, Task, Run, Reason);
+    proposeEnd(Worker, Task, Run, Outcome, Run.Checkpoint);
+  }
+  if (IsCrash && !Outcomes.empty()) {
+    Log.write(
+        LogLevel::Warning, "worker-crashed",
+        {{"worker", Worker.Record.Instance.Id},
+         {"runs", Outcomes.size()},
+         {"report_age_ms", toMilliseconds(Time.now() - Worker.LastReportAt)},
+         {"why", Reason}});
+  }
+}
+
+void Dispatcher::notePossibleCrashes(WorkerState &Worker) {
+  for (const auto &[Task, Run] : Worker.Runs) {
+    const RunOutcome Outcome = crashOutcome(Worker, Run);
+    if (jobs::isCrash(Outcome) && Run.Phase != RunPhase::Ending &&
+        Run.Phase != RunPhase::Proposed) {
+      Worker.PossibleCrashes.push_back({Task, Run.Number, Outcome});
+    }
+  }
+}
+
+void Dispatcher::confirmPossibleCrashes(WorkerState &Worker) {
+  for (const PossibleCrash &Crash : std::exchange(Worker.PossibleCrashes, {})) {
+    Events.emplace_back(
+        jobs::TaskEnded{Crash.Task, Crash.Run, Crash.Outcome, {}});
+  }
+}
+
 void Dispatcher::logLostRun(const WorkerState &Worker, const TaskRef &Task,
                             const RunState &Run,
                             std::string_view Reason) const {
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -6,6 +6,7 @@
 #include "balsamlatch/Dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace balsamlatch::dispatch {
 
@@ -63,11 +64,12 @@
     WorkerState &Worker = WorkerIt->second;
     if (!Worker.Runs.empty() && Now >= Worker.LeasesExpireAt &&
         (Worker.IsUnresponsive || !Worker.HasReported)) {
+      notePossibleCrashes(Worker);
       endAllAsLost(Worker,
                    "its worker can't be reached and the lease has run out");
     }
     if (!Worker.IsRegistered && Worker.Runs.empty() &&
-        Now >= Worker.LeasesExpireAt) {
+        Worker.PossibleCrashes.empty() && Now >= Worker.LeasesExpireAt) {
       WorkerIt = Workers.erase(WorkerIt);
     } else {
       ++WorkerIt;
@@ -131,7 +133,8 @@
         Worker.Runs.begin(), Worker.Runs.end(), [](const auto &Run) {
           return Run.second.LongRunning && Run.second.Percent == 0;
         });
-    Order.Wait = HasStartingRun ? Settings.StartingRenewalWait
+    Order.Wait = !mayShareWorker(false, Worker) ? SettlingTime
+                 : HasStartingRun               ? Settings.StartingRenewalWait
                  : Worker.hasBestEffortNextToServing()
                      ? Settings.SharedRenewalWait
                      : Settings.RenewalWait;
@@ -219,7 +222,8 @@
       Worker.ListsWithoutHost = 0;
     } else if ((Worker.IsUnresponsive || !Worker.HasReported) &&
                ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
-      endAllAsLost(Worker, "no host runs its worker any more");
+      handleWorkerGone(Worker, std::numeric_limits<std::int64_t>::max(),
+                       "no host runs its worker any more");
     }
   }
 }
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -40,6 +40,8 @@
 /// adds at most 1, and each run of a long-running task adds 1.
 constexpr double PreferredRackBonus = 100;
 constexpr double FailedOnWorkerPenalty = 1000;
+/// For each run that the crash of a suspect would end.
+constexpr double CrashSuspectPenalty = 10;
 /// Tasks that stay unplaced longer than this count as a need for more hosts.
 /// Before that, the pool sizes already follow the demand.
 constexpr Duration UnplacedDelay = std::chrono::milliseconds(500);
@@ -167,6 +169,9 @@
       UsableByPool[Worker.Record.Pool].push_back(&Worker);
     }
   }
+  for (const auto &[Pool, UsableWorkers] : UsableByPool) {
+    Isolation.reserveWorkers(Pool, UsableWorkers, Now);
+  }
   const std::vector<WaitingStep> Candidates = findWaitingSteps();
   const std::map<StepRef, Instant> UnplacedBefore =
       std::exchange(UnplacedSince, {});
@@ -273,6 +278,10 @@
   std::size_t PlacedCount = 0;
   for (const unsigned Index : TaskIndexes) {
     WorkerState *Worker = chooseWorker(Candidate, Index, UsableWorkers);
+    if (Worker == nullptr && mustIsolate(Candidate, Index)) {
+      Isolation.noteWait(Candidate.task(Index), Candidate.Pool, Time.now());
+      continue;
+    }
     if (Worker == nullptr) {
       break; // all tasks of a step need the same resources
     }
@@ -338,10 +347,14 @@
   for (const unsigned Index : TaskIndexes) {
     WorkerState *Worker = chooseWorker(Candidate, Index, UsableWorkers);
     if (Worker == nullptr) {
+      if (mustIsolate(Candidate, Index)) {
+        Isolation.noteWait(Candidate.task(Index), Candidate.Pool, Time.now());
+      }
       break;
     }
     RunState Reservation;
     Reservation.Claim = claimFor(Candidate.spec());
+    Reservation.IsIsolated = mustIsolate(Candidate, Index);
     Worker->ClaimedResources += Reservation.Claim;
     Worker->Runs[Candidate.task(Index)] = Reservation;
     GangWorkers.push_back(Worker);
@@ -357,6 +370,12 @@
              : std::vector<WorkerState *>();
 }
 
+bool Dispatcher::mustIsolate(const WaitingStep &Candidate,
+                             unsigned Index) const {
+  return Isolation.mustIsolate(Candidate.task(Index), Candidate.record(Index),
+                               Time.now());
+}
+
 WorkerState *Dispatcher::chooseWorker(
     const WaitingStep &Candidate, unsigned Index,
     const std::vector<WorkerState *> &UsableWorkers) const {
@@ -364,22 +383,30 @@
   const TaskRef Task = Candidate.task(Index);
   const Resources Claim = claimFor(Step);
   const auto FailedIt = LastFailedWorker.find(Task);
+  const bool IsIsolated = mustIsolate(Candidate, Index);
+  const TaskRecord *Record = Candidate.record(Index);
+  const bool IsSuspect = Record != nullptr && Record->IsCrashSuspect;
   const Instant PermitUntil = Time.now() + PermitMargin;
   WorkerState *BestWorker = nullptr;
   double BestScore = 0;
   for (WorkerState *Worker : UsableWorkers) {
     if (!Claim.fitsInto(Worker->freeResources()) ||
-        Worker->Runs.contains(Task) ||
+        Worker->Runs.contains(Task) || (Worker->IsReserved && !IsIsolated) ||
         (!Step.RequiredLabel.empty() &&
          !Worker->hasLabel(Step.RequiredLabel)) ||
         (Step.MaxPerWorker > 0 &&
          countRunsOfStep(*Worker, Task) >= Step.MaxPerWorker) ||
         (Candidate.Policy &&
          Permits.findTicket(stepOf(Task), Worker->Record.Instance,
-                            PermitUntil) == nullptr)) {
+                            PermitUntil) == nullptr) ||
+        ((IsIsolated || !Isolation.isUnused()) &&
+         !mayShareWorker(IsIsolated, *Worker))) {
       continue;
     }
     double Score = scoreWorker(*Worker, Step);
+    if (IsSuspect) {
+      Score -= CrashSuspectPenalty * static_cast<double>(Worker->Runs.size());
+    }
     if (FailedIt != LastFailedWorker.end() &&
         FailedIt->second == Worker->Record.Instance.Id) {
       Score -= FailedOnWorkerPenalty;
@@ -401,6 +428,19 @@
           stepOf(Task), Worker.Record.Instance, Time.now())) {
     NewRun.Ticket = *Ticket;
   }
+  const TaskRecord *Record = Candidate.record(Index);
+  if (Record != nullptr && Record->IsCrashSuspect) {
+    NewRun.IsIsolated = mustIsolate(Candidate, Index);
+    Log.write(LogLevel::Info, "suspect-placed",
+              {{"job", Task.Job.Text},
+               {"task", taskPath(Task)},
+               {"run", Run},
+               {"worker", Worker.Record.Instance.Id},
+               {"crash_score", Record->CrashScore},
+               {"isolated", NewRun.IsIsolated},
+               {"other_runs", Worker.Runs.size()}});
+    Isolation.notePlaced(Task);
+  }
   Worker.ClaimedResources += NewRun.Claim;
   Worker.Runs[Task] = NewRun;
   ProposedTasks.insert(Task);
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -80,11 +80,13 @@
   }
   Worker.IsUnresponsive = false;
   Worker.HasReported = true;
+  Worker.PossibleCrashes.clear(); // the worker was only out of reach
   Worker.Clock = Report.Clock;
   Worker.ClockReceivedAt = Now;
   Worker.LastReportAt = Now;
   processEndedRuns(Worker, Report);
   processRunningTasks(Worker, Report, SentAt);
+  settleRuns(Worker);
   adjustPace(Worker, Now);
   Worker.NextRenewalAt = Now + (Worker.Runs.empty() ? Settings.IdleRenewalPeriod
                                                     : Settings.RenewalPeriod);
@@ -236,6 +238,16 @@
   }
 }
 
+void Dispatcher::settleRuns(WorkerState &Worker) {
+  for (auto &[Task, Run] : Worker.Runs) {
+    if (!Run.HasSettled && Run.StartedAt != Instant() &&
+        Time.now() - Run.StartedAt >= SettlingTime) {
+      Run.HasSettled = true;
+      PlanNeeded = PlanNeeded || Run.IsIsolated;
+    }
+  }
+}
+
 Duration Dispatcher::stallTimeout(const TaskRef &Task,
                                   const jobs::StepSpec &Step) const {
   const Duration FirstTimeout = std::max<Duration>(
@@ -283,6 +295,7 @@
     Run->Phase = RunPhase::Running;
     Run->StartedAt = Now;
     Run->PercentChangedAt = Now;
+    settleRuns(Worker);
     Worker.NextRenewalAt =
         std::min(Worker.NextRenewalAt, Now + Settings.RenewalPeriod);
     return;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -14,6 +14,7 @@
 
 #include "balsamlatch/Base/Clock.h"
 #include "balsamlatch/Base/Log.h"
+#include "balsamlatch/Dispatch/CrashIsolation.h"
 #include "balsamlatch/Dispatch/Permits.h"
 #include "balsamlatch/Dispatch/WorkerState.h"
 #include "balsamlatch/Jobs/JobTable.h"
@@ -155,11 +156,22 @@
   /// Stops the other members of a gang after one of them has ended.
   void stopGangPeers(const TaskRef &EndedMember, std::uint32_t Run);
   /// Proposes to close a job whose tasks have all completed, or one of whose
-  /// tasks
-  /// has used all attempts.
+  /// tasks has used all attempts or crashes its workers.
   void closeIfDone(const JobId &Id);
   /// Declares all runs on the worker lost.
   void endAllAsLost(WorkerState &Worker, std::string_view Reason);
+  /// The worker process of all runs before \p Incarnation has ended. Its runs
+  /// count as crashed if that wasn't planned.
+  void handleWorkerGone(WorkerState &Worker, std::int64_t Incarnation,
+                        std::string_view Reason);
+  /// How the run counts if its worker has crashed.
+  static jobs::RunOutcome crashOutcome(const WorkerState &Worker,
+                                       const RunState &Run);
+  /// Remembers the runs of a worker that can't be reached, before they are
+  /// declared lost.
+  static void notePossibleCrashes(WorkerState &Worker);
+  /// Records the crash for the runs that were declared lost before.
+  void confirmPossibleCrashes(WorkerState &Worker);
   void logLostRun(const WorkerState &Worker, const TaskRef &Task,
                   const RunState &Run, std::string_view Reason) const;
   /// Switches to another incarnation of the worker; runs of earlier ones are
@@ -181,6 +193,9 @@
                       RunState &Run);
   void stopOrphanedRun(const WorkerState &Worker,
                        const RunningTask &ReportedRun);
+  /// The worker has just replied, so runs that started some time ago have
+  /// settled.
+  void settleRuns(WorkerState &Worker);
 
   void expireLeases(Instant Now);
   void orderStops(WorkerState &Worker);
@@ -217,6 +232,7 @@
   void recordUnplaced(const WaitingStep &Candidate, std::size_t UnplacedTasks,
                       Instant WaitingSince,
                       const std::vector<WorkerState *> &UsableWorkers);
+  bool mustIsolate(const WaitingStep &Candidate, unsigned Index) const;
   WorkerState *
   chooseWorker(const WaitingStep &Candidate, unsigned Index,
                const std::vector<WorkerState *> &UsableWorkers) const;
@@ -251,6 +267,7 @@
   // The worker on which the last run of a task failed or stalled, so that the
   // next run prefers another one.
   std::map<TaskRef, std::string> LastFailedWorker;
+  CrashIsolation Isolation;
   // How often the runs of a task have stalled.
   std::map<TaskRef, unsigned> StallCounts;
   // The workers of runs in phase Ending.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -26,6 +26,10 @@
   Ending,
 };
 
+/// A run whose worker replies this long after the start has not crashed the
+/// worker by its start.
+inline constexpr Duration SettlingTime = std::chrono::milliseconds(100);
+
 /// A run on a worker as the lease holder tracks it.
 struct RunState {
   std::uint32_t Number = 0;
@@ -47,6 +51,10 @@
   Instant OrderedAt{};
   /// When the run was first known to be running.
   Instant StartedAt{};
+  /// The worker has replied at least SettlingTime after the start.
+  bool HasSettled = false;
+  /// No other run may be on the worker until this one has settled.
+  bool IsIsolated = false;
   unsigned Percent = 0;
   Instant PercentChangedAt{};
   /// The longest time that the run took from one percentage to the next.
@@ -65,6 +73,14 @@
   bool PaceInFlight = false;
 };
 
+/// A run that was declared lost, and how it counts if its worker turns out to
+/// have crashed.
+struct PossibleCrash {
+  TaskRef Task;
+  std::uint32_t Run = 0;
+  jobs::RunOutcome Outcome = jobs::RunOutcome::WorkerCrashed;
+};
+
 /// A worker, its runs, and the times of the next orders to it.
 struct WorkerState {
   WorkerRecord Record;
@@ -78,6 +94,8 @@
   bool IsCordoned = false;
   /// An order that ends all of its runs is open for its host.
   bool HostOrderPending = false;
+  /// Kept free of all work but isolated runs.
+  bool IsReserved = false;
   bool RenewalInFlight = false;
   /// Long-poll time of the last renewal.
   Duration RenewalWait{};
@@ -112,6 +130,8 @@
   BestEffortPace TargetPace;
   Instant NextPaceAt{};
   std::map<TaskRef, RunState> Runs;
+  /// Runs that were declared lost while the worker couldn't be reached.
+  std::vector<PossibleCrash> PossibleCrashes;
   // Invariant: the sum of the claims of all Runs that are not in phase Ending.
   Resources ClaimedResources;
 
@@ -124,6 +144,8 @@
     FreeResources -= ClaimedResources;
     return FreeResources;
   }
+  /// Whether the end of the worker is planned, so that it is no crash.
+  bool isLeaving() const { return Record.Draining || HostOrderPending; }
   bool hasLabel(const std::string &Label) const;
   /// Whether best-effort tasks share the worker with serving tasks, so that the
   /// tails of the serving tasks control the pace of the best-effort tasks.
--- a/Source/Jobs/JobTable.cpp
+++ b/Source/Jobs/JobTable.cpp
@@ -289,6 +289,9 @@
   Job *ParentJob = findMutable(Event.Task.Job);
   TaskRecord *Task =
       ParentJob == nullptr ? nullptr : findTask(*ParentJob, Event.Task);
+  if (Task != nullptr) {
+    updateCrashes(*ParentJob, *Task, Event);
+  }
   // The task may be Waiting here: a run recorded as lost can still be reported
   // as done before the next run is placed.
   if (Task == nullptr || Task->Phase == TaskPhase::Done ||
@@ -316,6 +319,25 @@
   }
 }
 
+void JobTable::updateCrashes(Job &ParentJob, TaskRecord &Task,
+                             const TaskEnded &Event) {
+  if (Task.Phase == TaskPhase::Done || Event.Run > Task.Run ||
+      Event.Run <= Task.LastCrashedRun) {
+    return;
+  }
+  if (!isCrash(Event.Outcome)) {
+    const bool HasRun = Event.Outcome != RunOutcome::Lost &&
+                        Event.Outcome != RunOutcome::Refused;
+    Task.IsCrashSuspect = Task.IsCrashSuspect && !HasRun;
+    return;
+  }
+  Task.IsCrashSuspect = Event.Outcome != RunOutcome::WorkerCrashed;
+  Task.LastCrashedRun = Event.Run;
+  Task.CrashScore += Event.Outcome == RunOutcome::WorkerCrashedAlone ? 2 : 1;
+  ParentJob.LargestCrashScore =
+      std::max(ParentJob.LargestCrashScore, Task.CrashScore);
+}
+
 void JobTable::applyEvent(const CheckpointSaved &Event,
                           std::uint64_t /*Sequence*/) {
   Job *ParentJob = findMutable(Event.Task.Job);
@@ -358,6 +380,8 @@
       for (const TaskRecord &Task : Step) {
         RestoredJob.OpenTasks -= Task.Phase == TaskPhase::Done ? 1 : 0;
         RestoredJob.PlacedTasks += Task.Phase == TaskPhase::Placed ? 1 : 0;
+        RestoredJob.LargestCrashScore =
+            std::max(RestoredJob.LargestCrashScore, Task.CrashScore);
       }
     }
   }
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -71,6 +71,7 @@
   template <typename T> T number() { return next().to_number<T>(); }
   std::string text() { return std::string(next().as_string()); }
   const json::value &next() { return Items.at(Position++); }
+  bool atEnd() const { return Position >= Items.size(); }
 
 private:
   const json::array &Items;
@@ -170,13 +171,19 @@
 }
 
 json::array taskRecordArray(const TaskRecord &Task) {
-  return {static_cast<int>(Task.Phase),
-          Task.Run,
-          Task.Failures,
-          Task.LastFailedRun,
-          json::string(Task.Worker.Id),
-          Task.Worker.Incarnation,
-          json::string(Task.Checkpoint)};
+  json::array Fields = {static_cast<int>(Task.Phase),
+                        Task.Run,
+                        Task.Failures,
+                        Task.LastFailedRun,
+                        json::string(Task.Worker.Id),
+                        Task.Worker.Incarnation,
+                        json::string(Task.Checkpoint)};
+  if (Task.CrashScore > 0) {
+    Fields.emplace_back(Task.CrashScore);
+    Fields.emplace_back(Task.LastCrashedRun);
+    Fields.emplace_back(Task.IsCrashSuspect ? 1 : 0);
+  }
+  return Fields;
 }
 
 TaskRecord readTaskRecord(const json::value &Value) {
@@ -189,6 +196,12 @@
   Task.Worker.Id = Reader.text();
   Task.Worker.Incarnation = Reader.number<std::int64_t>();
   Task.Checkpoint = Reader.text();
+  // Absent if no worker has crashed under the task.
+  if (!Reader.atEnd()) {
+    Task.CrashScore = Reader.number<std::uint32_t>();
+    Task.LastCrashedRun = Reader.number<std::uint32_t>();
+    Task.IsCrashSuspect = Reader.number<unsigned>() != 0;
+  }
   return Task;
 }
 
@@ -292,7 +305,7 @@
     return Event;
   }
   if (Kind == 'e') {
-    const auto End = readEnum(Reader, RunOutcome::Refused);
+    const auto End = readEnum(Reader, RunOutcome::WorkerCrashedAlone);
     return TaskEnded{Task, Run, End, Reader.text()};
   }
   return CheckpointSaved{Task, Run, Reader.text()};
--- a/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
@@ -59,8 +59,22 @@
   GangAborted,
   /// The worker refused the start order; nothing ran.
   Refused,
+  /// The worker crashed when the run had been on it for a while.
+  WorkerCrashed,
+  /// The worker crashed soon after the run started, so its start is a possible
+  /// cause.
+  WorkerCrashedOnStart,
+  /// The same, and no other run was on the worker.
+  WorkerCrashedAlone,
 };
 
+/// Whether the run ended with a crash of its worker.
+constexpr bool isCrash(RunOutcome Outcome) {
+  return Outcome == RunOutcome::WorkerCrashed ||
+         Outcome == RunOutcome::WorkerCrashedOnStart ||
+         Outcome == RunOutcome::WorkerCrashedAlone;
+}
+
 enum class JobState { Queued, Running, Completed, Failed, Cancelled };
 
 /// Whether the state is final, that is, the job's last one.
@@ -90,7 +104,8 @@
   auto operator<=>(const TaskPlaced &) const = default;
 };
 
-/// A run ended.
+/// A run ended. A run that was recorded as lost may be recorded as a crash
+/// later, once the crash of its worker is known.
 struct TaskEnded {
   TaskRef Task;
   std::uint32_t Run = 0;
@@ -128,6 +143,10 @@
 
 enum class TaskPhase { Waiting, Placed, Done };
 
+/// A task with this crash score is taken to crash its workers, and its job
+/// fails: after the crashes of two to three workers.
+inline constexpr std::uint32_t MaxCrashScore = 3;
+
 /// The state of one task. Invariant: Worker is set while Phase is Placed.
 struct TaskRecord {
   TaskPhase Phase = TaskPhase::Waiting;
@@ -139,6 +158,14 @@
   std::uint32_t LastFailedRun = 0;
   WorkerInstance Worker;
   std::string Checkpoint;
+  /// Crashes of workers under runs of the task. A crash with no other run on
+  /// the worker counts twice.
+  std::uint32_t CrashScore = 0;
+  /// Number of the last run with such a crash; 0 for none.
+  std::uint32_t LastCrashedRun = 0;
+  /// The last run may have crashed its worker by its start, so the next run
+  /// must not endanger others.
+  bool IsCrashSuspect = false;
 
   auto operator<=>(const TaskRecord &) const = default;
 };
--- a/Source/Jobs/include/balsamlatch/Jobs/JobTable.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobTable.h
@@ -27,6 +27,8 @@
   std::uint64_t OpenTasks = 0;
   /// Invariant: number of tasks that are Placed.
   unsigned PlacedTasks = 0;
+  /// Invariant: the largest CrashScore of a task.
+  std::uint32_t LargestCrashScore = 0;
   /// Invariant: all tasks of the occurrences before this one are Done.
   unsigned FirstOpenOccurrence = 0;
 
@@ -85,6 +87,10 @@
   /// The state of a task, created with its occurrence on first use; null if it
   /// is out of range.
   TaskRecord *findTask(Job &ParentJob, const TaskRef &Task);
+  /// Counts a crash of a worker under a run of the task, once for each run, and
+  /// keeps account of whether the task is a suspect.
+  static void updateCrashes(Job &ParentJob, TaskRecord &Task,
+                            const TaskEnded &Event);
   /// Adds \p Delta to the pending count of the queue if the job is pending.
   void adjustPendingCount(const Job &Candidate, int Delta);
 
--- a/Tests/Dispatch/CrashingTaskTest.cpp
+++ b/Tests/Dispatch/CrashingTaskTest.cpp
@@ -27,6 +27,15 @@
                     [](const RunTrace &Run) { return Run.CrashedWorker; }));
 }
 
+unsigned countStartsOfTask(const Simulation &Sim, const std::string &Id,
+                           unsigned Index) {
+  return static_cast<unsigned>(std::count_if(
+      Sim.Observed.Runs.begin(), Sim.Observed.Runs.end(),
+      [&](const RunTrace &Run) {
+        return Run.Task.Job == JobId(Id) && Run.Task.Index == Index;
+      }));
+}
+
 } // namespace
 
 // A deadly task was started without limit and took down worker after worker.
@@ -39,3 +48,97 @@
   BOOST_TEST(countCrashes(Sim) <= 3);
   BOOST_TEST(Sim.violations().empty());
 }
+
+// The tasks beside a deadly task were placed with it again and lost again.
+BOOST_AUTO_TEST_CASE(TasksBesideACrashingTaskAreLostOnce) {
+  Simulation Sim(3);
+  Sim.submit("neighbour", simpleJob(6));
+  addDeadlyJob(Sim, simpleJob(1));
+  Sim.run(30s);
+  BOOST_TEST((Sim.job("neighbour").Record.State == jobs::JobState::Completed));
+  BOOST_TEST((Sim.job("deadly").Record.State == jobs::JobState::Failed));
+  for (unsigned Index = 0; Index < 6; ++Index) {
+    BOOST_TEST(countStartsOfTask(Sim, "neighbour", Index) <= 2U);
+  }
+}
+
+// Each new leader started a deadly task anew.
+BOOST_AUTO_TEST_CASE(ALaterLeaderKnowsACrashingTask) {
+  Simulation Sim(5);
+  addDeadlyJob(Sim, simpleJob(1));
+  for (unsigned Term = 0; Term < 6; ++Term) {
+    Sim.run(2300ms);
+    Sim.startNewTerm();
+  }
+  Sim.run(20s);
+  BOOST_TEST((Sim.job("deadly").Record.State == jobs::JobState::Failed));
+  BOOST_TEST(countCrashes(Sim) <= 3U);
+  BOOST_TEST(Sim.violations().empty());
+}
+
+// A crash that outlasted the leases was forgotten when the worker was back.
+BOOST_AUTO_TEST_CASE(ACrashIsCountedAfterTheLeasesHaveExpired) {
+  Simulation Sim(5);
+  Sim.CrashDownTime = 6s;
+  addDeadlyJob(Sim, simpleJob(1));
+  Sim.run(60s);
+  BOOST_TEST((Sim.job("deadly").Record.State == jobs::JobState::Failed));
+  BOOST_TEST(countCrashes(Sim) <= 4U);
+  BOOST_TEST(Sim.violations().empty());
+}
+
+// A deadly task waits for a vacant worker, which long steps don't leave it.
+BOOST_AUTO_TEST_CASE(ACrashingTaskIsGivenUpWhileNoWorkerIsVacant) {
+  Simulation Sim(3);
+  jobs::JobSpec LongRunning = simpleJob(3);
+  LongRunning.Steps.front().LongRunning = true;
+  LongRunning.Steps.front().MaxPerWorker = 1;
+  Sim.submit("long", LongRunning);
+  Sim.run(1s);
+  addDeadlyJob(Sim, simpleJob(1));
+  Sim.run(40s);
+  BOOST_TEST((Sim.job("deadly").Record.State == jobs::JobState::Failed));
+  BOOST_TEST((Sim.job("long").Record.State == jobs::JobState::Running));
+  BOOST_TEST(countCrashes(Sim) <= 3U);
+}
+
+// A task is not at fault for the crashes of workers that it doesn't cause.
+BOOST_AUTO_TEST_CASE(ATaskThatLosesItsWorkerOnceIsNotGivenUp) {
+  Simulation Sim(4);
+  Sim.submit("j", simpleJob(4));
+  Sim.run(20ms);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.crash(Sim.Time.now(), Sim.Observed);
+  }
+  Sim.run(15s);
+  BOOST_TEST((Sim.job("j").Record.State == jobs::JobState::Completed));
+}
+
+// Tasks of a worker that was out of reach, but did not crash, keep their score.
+BOOST_AUTO_TEST_CASE(AWorkerOutOfReachIsNoCrash) {
+  Simulation Sim(2);
+  Sim.submit("j", simpleJob(1));
+  Sim.run(30ms);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.IsDown = true;
+  }
+  Sim.run(6s);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.IsDown = false;
+  }
+  Sim.run(10s);
+  BOOST_TEST((Sim.job("j").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.job("j").LargestCrashScore == 0U);
+}
+
+// A worker stayed reserved for tasks that were no longer isolated.
+BOOST_AUTO_TEST_CASE(AReservedWorkerIsReleasedWhenNoTaskCanUseIt) {
+  const PoolName Pool("pool");
+  CrashIsolation Isolation;
+  WorkerState Worker;
+  Isolation.noteWait({JobId("j"), 0, 0, 0}, Pool, Instant());
+  Isolation.reserveWorkers(Pool, {&Worker}, Instant());
+  BOOST_TEST(Worker.IsReserved);
+  Isolation.reserveWorkers(Pool, {&Worker}, Instant(10s));
+  BOOST_TEST(!Worker.IsReserved);
+}
--- a/Tests/Dispatch/HistoryChecker.cpp
+++ b/Tests/Dispatch/HistoryChecker.cpp
@@ -55,7 +55,8 @@
         ++StartsAfterCrashes == MaxStartsAfterCrashes + 1) {
       Violations.push_back(fmt::format("{} crashes worker after worker", Task));
     }
-    Failures += Run->End == RunOutcome::Failed ? 1 : 0;
+    // No lease holder can know of an end that was never acknowledged.
+    Failures += Run->End == RunOutcome::Failed && Run->EndAcknowledged ? 1 : 0;
     Crashes += Run->CrashedWorker ? 1 : 0;
     PreviousRun = Run;
   }
--- a/Tests/Dispatch/HistoryTest.cpp
+++ b/Tests/Dispatch/HistoryTest.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
+#include <set>
 
 using namespace balsamlatch;
 using namespace balsamlatch::dispatch;
@@ -58,10 +59,17 @@
                                 std::chrono::milliseconds(Sim.Random() % 6000))
                           : std::nullopt;
   };
+  std::set<JobId> CrashingJobs;
+  Sim.CrashesWorker = [&](const TaskRef &Task) {
+    return Task.Index == 0 && CrashingJobs.contains(Task.Job);
+  };
   for (unsigned Number = 0; Number < 12; ++Number) {
     const std::string Id = fmt::format("j{}", Number);
     jobs::JobSpec Spec = simpleJob(1 + Sim.Random() % 5, 1 + Sim.Random() % 3);
     Spec.Steps.front().LongRunning = chance(Sim, 20) && Spec.Steps.size() == 1;
+    if (chance(Sim, 10)) {
+      CrashingJobs.insert(JobId(Id));
+    }
     Sim.submit(Id, Spec);
     Sim.run(std::chrono::milliseconds(200 + Sim.Random() % 1000));
     injectFault(Sim);
@@ -76,7 +84,7 @@
     Worker.IsDown = false;
     Worker.FailsAll = false;
   }
-  Sim.run(25s);
+  Sim.run(40s);
   for (const std::string &Violation : Sim.violations()) {
     BOOST_ERROR("seed " << Seed << ": " << Violation);
   }
@@ -131,6 +139,15 @@
                               {},
                               {}})
                   .empty());
+  History Crashes;
+  for (std::uint32_t Run = 1; Run <= 6; ++Run) {
+    BOOST_TEST(findViolations(Crashes).empty());
+    const int Start = static_cast<int>(Run);
+    Crashes.Runs.push_back(
+        makeTrace(0, Run, Start, Start + 1, RunOutcome::Lost));
+    Crashes.Runs.back().CrashedWorker = true;
+  }
+  BOOST_TEST(!findViolations(Crashes).empty());
   BOOST_TEST(
       !findViolations({{makeTrace(1, 1, 0, 1, RunOutcome::Done)}, {}, {}}, 2)
            .empty());
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -178,6 +178,7 @@
 
 void FakeWorker::crash(Instant Now, History &Observed) {
   endAll(Now, Observed);
+  HasCrashed = false;
   FinishedRuns.clear();
   Ends.clear();
   EndCount = 0;
@@ -344,7 +345,7 @@
       },
       Order);
   const std::int64_t IntendedIncarnation =
-      find(WorkerId)->Record.Instance.Incarnation;
+      JobDispatcher->workers().at(WorkerId).Record.Instance.Incarnation;
   schedule(Delay, [this, Order, SenderTerm = Term, IntendedIncarnation,
                    ReplyLost, ExtraDelay] {
     deliver(Order, SenderTerm, IntendedIncarnation, !ReplyLost && !ExtraDelay);
@@ -392,7 +393,7 @@
     Outcome = Worker.Record.Instance.Incarnation == IntendedIncarnation
                   ? OrderOutcome::Unknown
                   : OrderOutcome::WrongWorker;
-    return !Worker.IsDown &&
+    return !Worker.IsDown && !Worker.HasCrashed &&
            Worker.Record.Instance.Incarnation == IntendedIncarnation;
   };
   const bool ReplyArrives = SendsReply && SenderTerm == Term;
@@ -466,10 +467,9 @@
   }
   TraceIt->CrashedWorker = true;
   Worker.endAll(Time.now(), Observed);
-  Worker.IsDown = true;
+  Worker.HasCrashed = true;
   schedule(CrashDownTime, [this, WorkerId] {
     FakeWorker &RestartedWorker = *find(WorkerId);
-    RestartedWorker.IsDown = false;
     RestartedWorker.crash(Time.now(), Observed);
   });
 }
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -52,6 +52,8 @@
 public:
   WorkerRecord Record;
   bool IsDown = false;
+  /// The process has ended and is not started again yet.
+  bool HasCrashed = false;
   /// All runs end as failed.
   bool FailsAll = false;
   /// Runs make no progress.
--- a/Tests/Jobs/JournalCodecTest.cpp
+++ b/Tests/Jobs/JournalCodecTest.cpp
@@ -36,6 +36,9 @@
     R"(["e","j",1,2,3,7,3,"c"],)"
     R"(["e","j",1,2,3,8,4,"c"],)"
     R"(["e","j",1,2,3,9,5,"c"],)"
+    R"(["e","j",1,2,3,10,6,"c"],)"
+    R"(["e","j",1,2,3,11,7,"c"],)"
+    R"(["e","j",1,2,3,12,8,"c"],)"
     R"(["c","j",1,2,3,4,"d"],)"
     R"(["z","j",0,7000000],)"
     R"(["z","j",1,7000000],)"
@@ -48,7 +51,7 @@
     R"([3,250,32,0,1500000,[0],"","",0,2,40000,"",62]],)"
     R"(3,5000000,2000000]],1,9000000,true,)"
     R"([[1,[[[1,4,1,3,"w",5,"c"],[2,2,0,0,"",0,""]],)"
-    R"([[0,0,0,0,"",0,""]]]]]]])";
+    R"([[0,0,0,0,"",0,""],[0,4,0,0,"",0,"",2,4,1]]]]]]])";
 
 /// Written by encodeSpec() of an earlier version.
 constexpr std::string_view StoredSpec =
@@ -169,12 +172,18 @@
                                .LastFailedRun = 0,
                                .Worker = {.Id = "", .Incarnation = 0},
                                .Checkpoint = ""};
+  TaskRecord SuspectTask = WaitingTask;
+  SuspectTask.Run = 4;
+  SuspectTask.CrashScore = 2;
+  SuspectTask.LastCrashedRun = 4;
+  SuspectTask.IsCrashSuspect = true;
   const JobSnapshot Snapshot{
       .Accepted = Accepted,
       .State = JobState::Running,
       .ClosedAt = WallTime(9s),
       .EverPlaced = true,
-      .Occurrences = {{1U, {{PlacedTask, DoneTask}, {WaitingTask}}}}};
+      .Occurrences = {
+          {1U, {{PlacedTask, DoneTask}, {WaitingTask, SuspectTask}}}}};
   return {Accepted,
           TaskPlaced{Task, 4, {.Id = "w", .Incarnation = 5}},
           TaskEnded{Task, 4, RunOutcome::Done, "c"},
@@ -183,6 +192,9 @@
           TaskEnded{Task, 7, RunOutcome::Lost, "c"},
           TaskEnded{Task, 8, RunOutcome::GangAborted, "c"},
           TaskEnded{Task, 9, RunOutcome::Refused, "c"},
+          TaskEnded{Task, 10, RunOutcome::WorkerCrashed, "c"},
+          TaskEnded{Task, 11, RunOutcome::WorkerCrashedOnStart, "c"},
+          TaskEnded{Task, 12, RunOutcome::WorkerCrashedAlone, "c"},
           CheckpointSaved{Task, 4, "d"},
           JobClosed{Job, JobState::Queued, WallTime(7s)},
           JobClosed{Job, JobState::Running, WallTime(7s)},
@@ -283,3 +295,26 @@
                (Occurrence == 1 ? 0U : 2U));
   }
 }
+
+// A new leader restores crash scores from a snapshot; an end without a crash
+// clears the suspicion.
+BOOST_AUTO_TEST_CASE(CrashScoresSurviveASnapshot) {
+  const TaskRef Task{JobId("j"), 0, 0, 0};
+  JobSpec Spec;
+  Spec.Steps.emplace_back();
+  JobTable Table;
+  Table.apply(JobAccepted{Task.Job, QueueName("q"), PoolName("p"), Spec, {}},
+              1);
+  Table.apply(TaskPlaced{Task, 1, {.Id = "w", .Incarnation = 5}}, 2);
+  Table.apply(TaskEnded{Task, 1, RunOutcome::WorkerCrashedOnStart, ""}, 3);
+  const auto Stored =
+      decodeEvents(encodeEvents({Table.find(Task.Job)->snapshot()}));
+  BOOST_REQUIRE(Stored.ok());
+  JobTable Restored;
+  Restored.apply(Stored->front(), 4);
+  BOOST_TEST(Restored.find(Task.Job)->LargestCrashScore == 1U);
+  BOOST_TEST(Restored.find(Task.Job)->find(Task)->IsCrashSuspect);
+  Restored.apply(TaskPlaced{Task, 2, {.Id = "w", .Incarnation = 6}}, 5);
+  Restored.apply(TaskEnded{Task, 2, RunOutcome::Stopped, ""}, 6);
+  BOOST_TEST(!Restored.find(Task.Job)->find(Task)->IsCrashSuspect);
+}
