dispatch: Runs that are being stopped take room on their worker

What callers would see: on a worker that doesn't guard its capacity, all tasks there slow down, and the contract's LIMIT is broken.

Cause: the dispatcher counted the claims of the runs that it tracks. A run that it had declared lost, by two host lists without the worker, is still on the worker when that is in reach again; it was ordered to stop, which takes up to some hundred milliseconds, and its room was given away meanwhile.

The resources of such runs in a report now count until a report doesn't list them; a run of an unknown job counts as the whole worker. Renewals wait for the end of these runs as for others, so the room is used at once.

Ruled out: a shrinking capacity (registrations are taken whole with each change; test AShrunkWorkerGetsOnlyWhatFits passed before), stops that were ordered (their claims last until the end is listed).

RunsThatAreToBeStoppedStillTakeRoom failed before, once stops took 400 ms in the simulation.

--- a/Source/Dispatch/CrashIsolation.cpp
+++ b/Source/Dispatch/CrashIsolation.cpp
@@ -38,8 +38,8 @@
 }
 
 void CrashIsolation::removeJob(const JobId &Job) {
-  std::erase_if(
-      Tasks, [&Job](const auto &Entry) { return Entry.first.Job == Job; });
+  std::erase_if(Tasks,
+                [&Job](const auto &Entry) { return Entry.first.Job == Job; });
 }
 
 bool CrashIsolation::mustIsolate(const TaskRef &Task,
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -218,6 +218,7 @@
   }
   Worker.Record.Instance.Incarnation = Incarnation;
   Worker.HasReported = false;
+  Worker.OrphanedResources = {};
   Worker.LastSeenEnd = 0;
   Worker.LastEndInBatch = 0;
   Worker.LastRecordedEnd = 0;
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -127,7 +127,7 @@
   // The worker reports ends that aren't recorded yet again at once, so a long
   // poll would not wait.
   const bool HasUnrecordedEnds = Worker.LastSeenEnd != Worker.LastRecordedEnd;
-  if (Worker.HasReported && !Worker.IsUnresponsive && !Worker.Runs.empty() &&
+  if (Worker.HasReported && !Worker.IsUnresponsive && Worker.isOccupied() &&
       !HasUnrecordedEnds) {
     const bool HasStartingRun = std::any_of(
         Worker.Runs.begin(), Worker.Runs.end(), [](const auto &Run) {
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -88,8 +88,9 @@
   processRunningTasks(Worker, Report, SentAt);
   settleRuns(Worker);
   adjustPace(Worker, Now);
-  Worker.NextRenewalAt = Now + (Worker.Runs.empty() ? Settings.IdleRenewalPeriod
-                                                    : Settings.RenewalPeriod);
+  Worker.NextRenewalAt =
+      Now + (Worker.isOccupied() ? Settings.RenewalPeriod
+                                 : Settings.IdleRenewalPeriod);
   if (Worker.LastSeenEnd != Worker.LastRecordedEnd) {
     Worker.NextRenewalAt = Now + JournalLagRenewalPeriod;
   }
@@ -172,6 +173,7 @@
                                      const RenewReport &Report,
                                      Instant SentAt) {
   std::set<TaskRef> ReportedTasks;
+  Worker.OrphanedResources = {};
   for (const RunningTask &ReportedRun : Report.Running) {
     const auto RunIt = Worker.Runs.find(ReportedRun.Task);
     if (RunIt == Worker.Runs.end() || RunIt->second.Number != ReportedRun.Run) {
@@ -184,8 +186,15 @@
   resolveMissingRuns(Worker, ReportedTasks, SentAt);
 }
 
-void Dispatcher::stopOrphanedRun(const WorkerState &Worker,
+void Dispatcher::stopOrphanedRun(WorkerState &Worker,
                                  const RunningTask &ReportedRun) {
+  const jobs::Job *Job = Table->find(ReportedRun.Task.Job);
+  const bool IsKnownTask =
+      Job != nullptr && ReportedRun.Task.Step < Job->spec().Steps.size();
+  // The run may take all of the worker for what is known.
+  Worker.OrphanedResources +=
+      IsKnownTask ? claimFor(Job->spec().Steps[ReportedRun.Task.Step])
+                  : Worker.Record.Capacity;
   Log.write(LogLevel::Info, "run-orphaned",
             {{"job", ReportedRun.Task.Job.Text},
              {"run", ReportedRun.Run},
--- a/Source/Dispatch/include/balsamlatch/Dispatch/CrashIsolation.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/CrashIsolation.h
@@ -25,8 +25,8 @@
   /// Whether no run of this term is isolated and no task waits to be.
   bool isUnused() const { return Tasks.empty(); }
 
-  /// Whether the next run of the task must be isolated. \p Record is null if the
-  /// task has not run yet.
+  /// Whether the next run of the task must be isolated. \p Record is null if
+  /// the task has not run yet.
   bool mustIsolate(const TaskRef &Task, const jobs::TaskRecord *Record,
                    Instant Now) const;
   /// No worker of the pool is vacant for the task.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -191,8 +191,7 @@
                           Instant SentAt);
   void updateProgress(WorkerState &Worker, const RunningTask &ReportedRun,
                       RunState &Run);
-  void stopOrphanedRun(const WorkerState &Worker,
-                       const RunningTask &ReportedRun);
+  void stopOrphanedRun(WorkerState &Worker, const RunningTask &ReportedRun);
   /// The worker has just replied, so runs that started some time ago have
   /// settled.
   void settleRuns(WorkerState &Worker);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -134,6 +134,9 @@
   std::vector<PossibleCrash> PossibleCrashes;
   // Invariant: the sum of the claims of all Runs that are not in phase Ending.
   Resources ClaimedResources;
+  /// Resources of the runs in the last report that are not among Runs. They are
+  /// being stopped.
+  Resources OrphanedResources;
 
   WorkerClock clockAt(Instant Now) const {
     return Clock +
@@ -142,8 +145,13 @@
   Resources freeResources() const {
     Resources FreeResources = Record.Capacity;
     FreeResources -= ClaimedResources;
+    FreeResources -= OrphanedResources;
     return FreeResources;
   }
+  /// Whether any run is on the worker, also one that is being stopped.
+  bool isOccupied() const {
+    return !Runs.empty() || OrphanedResources != Resources();
+  }
   /// Whether the end of the worker is planned, so that it is no crash.
   bool isLeaving() const { return Record.Draining || HostOrderPending; }
   bool hasLabel(const std::string &Label) const;
--- /dev/null
+++ b/Tests/Dispatch/CapacityTest.cpp
@@ -0,0 +1,53 @@
+/// \file
+/// Tests with workers that accept more work than their capacity allows.
+
+#define BOOST_TEST_MODULE Capacity
+#include "Simulation.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace balsamlatch;
+using namespace balsamlatch::dispatch;
+using namespace balsamlatch::dispatch::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Resources FullCapacity{4000, 4000, 0};
+constexpr Resources HalfCapacity{2000, 2000, 0};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AShrunkWorkerGetsOnlyWhatFits) {
+  Simulation Sim(1);
+  Sim.submit("j", simpleJob(40));
+  for (unsigned Change = 0; Change < 4; ++Change) {
+    Sim.run(700ms);
+    Sim.setCapacity(Sim.Workers[0],
+                    Change % 2 == 0 ? HalfCapacity : FullCapacity);
+  }
+  Sim.run(20s);
+  BOOST_TEST((Sim.job("j").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.violations().empty());
+}
+
+// Runs that were counted as lost took room that was given to other runs.
+BOOST_AUTO_TEST_CASE(RunsThatAreToBeStoppedStillTakeRoom) {
+  Simulation Sim(1);
+  FakeWorker &Worker = Sim.Workers[0];
+  Worker.RunDuration = 5s;
+  Worker.StopDuration = 400ms;
+  Sim.submit("lost", simpleJob(4));
+  Sim.run(300ms);
+  Worker.IsDown = true;
+  Sim.submit("next", simpleJob(4));
+  Sim.run(1s);
+  Sim.JobDispatcher->setHostedWorkers({});
+  Sim.JobDispatcher->setHostedWorkers({});
+  Sim.run(200ms);
+  Worker.IsDown = false;
+  Sim.run(30s);
+  BOOST_TEST((Sim.job("next").Record.State == jobs::JobState::Completed));
+  BOOST_TEST((Sim.job("lost").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.Observed.Overloads.empty());
+}
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -14,6 +14,8 @@
 
 constexpr Duration TimeStep = std::chrono::milliseconds(5);
 constexpr Duration NetworkDelay = std::chrono::milliseconds(1);
+/// Starts may rely on a worker's former capacity for this long.
+constexpr Duration CapacityGracePeriod = std::chrono::milliseconds(100);
 /// Time from the start of a run that crashes its worker to the crash.
 constexpr Duration CrashDelay = std::chrono::milliseconds(10);
 const PoolName TestPool("pool");
@@ -105,8 +107,8 @@
     Paces[Order.Task] = 100;
   }
   Observed.Runs.push_back({Order.Task, Order.Run, Record.Instance.Id, Now});
-  Runs[Order.Task] = {Order.Run, LongRunning, Now, Order.LeaseUntil,
-                      Observed.Runs.size() - 1};
+  Runs[Order.Task] = {Order.Run,        LongRunning, Now,
+                      Order.LeaseUntil, {},          Observed.Runs.size() - 1};
   return OrderOutcome::Done;
 }
 
@@ -131,10 +133,11 @@
   HighestToken = Order.Token;
   FinishedRuns[Order.Task] = std::max(FinishedRuns[Order.Task], Order.Run);
   const auto RunIt = Runs.find(Order.Task);
-  if (RunIt != Runs.end() && RunIt->second.Number == Order.Run) {
-    end(Order.Task, RunIt->second, RunOutcome::Stopped, Now, Observed);
-    Runs.erase(RunIt);
+  if (RunIt != Runs.end() && RunIt->second.Number == Order.Run &&
+      !RunIt->second.StopsAt) {
+    RunIt->second.StopsAt = Now + StopDuration;
   }
+  advance(Now, Observed);
   return OrderOutcome::Done;
 }
 
@@ -158,12 +161,17 @@
     const bool HasEnded =
         !Run.LongRunning && !Hangs && Now - Run.StartedAt >= RunDuration;
     const bool LeaseExpired = clock(Now) >= Run.LeaseUntil;
-    if (!HasEnded && !LeaseExpired) {
+    const bool IsStopped = Run.StopsAt && Now >= *Run.StopsAt;
+    if (!HasEnded && !LeaseExpired && !IsStopped) {
       ++RunIt;
       continue;
     }
     const RunOutcome OwnEnd = FailsAll ? RunOutcome::Failed : RunOutcome::Done;
-    end(RunIt->first, Run, HasEnded ? OwnEnd : RunOutcome::Lost, Now, Observed);
+    end(RunIt->first, Run,
+        HasEnded    ? OwnEnd
+        : IsStopped ? RunOutcome::Stopped
+                    : RunOutcome::Lost,
+        Now, Observed);
     RunIt = Runs.erase(RunIt);
   }
 }
@@ -205,6 +213,7 @@
     NewWorker.Record.Pool = TestPool;
     NewWorker.Record.Address = {"10.0.0.1", 1, NewWorker.Record.Instance.Id};
     NewWorker.Record.Capacity = {4000, 4000, 0};
+    NewWorker.FormerCapacity = NewWorker.Record.Capacity;
   }
   startNewTerm();
 }
@@ -416,6 +425,9 @@
     if (IsReachable(Worker, Outcome)) {
       Outcome = Worker.start(*Start, isLongRunning(Start->Task), Time.now(),
                              Observed);
+      if (Outcome == OrderOutcome::Done) {
+        checkLoad(Worker);
+      }
       if (Outcome == OrderOutcome::Done && CrashesWorker &&
           CrashesWorker(Start->Task)) {
         schedule(CrashDelay, [this, Order = *Start] {
@@ -454,6 +466,34 @@
   }
 }
 
+void Simulation::setCapacity(FakeWorker &Worker, Resources Capacity) {
+  Worker.FormerCapacity = Worker.Record.Capacity;
+  Worker.Record.Capacity = Capacity;
+  Worker.CapacityChangedAt = Time.now();
+}
+
+void Simulation::checkLoad(const FakeWorker &Worker) {
+  Resources Used;
+  for (const RunTrace &Run : Observed.Runs) {
+    if (Run.Worker == Worker.Record.Instance.Id &&
+        Run.EndedAt == Instant::max()) {
+      const jobs::StepSpec &Step = Specs.at(Run.Task.Job).Steps[Run.Task.Step];
+      Used += Step.RequestedResources;
+      Used.CpuMilli -= Step.BestEffort ? Step.RequestedResources.CpuMilli : 0;
+    }
+  }
+  const bool MayUseFormer =
+      Time.now() - Worker.CapacityChangedAt < CapacityGracePeriod;
+  if (!Used.fitsInto(Worker.Record.Capacity) &&
+      !(MayUseFormer && Used.fitsInto(Worker.FormerCapacity))) {
+    Observed.Overloads.push_back(fmt::format(
+        "{} is loaded beyond its capacity at {} ms", Worker.Record.Instance.Id,
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            Time.now().time_since_epoch())
+            .count()));
+  }
+}
+
 void Simulation::crashUnderRun(const std::string &WorkerId,
                                const StartOrder &Order) {
   FakeWorker &Worker = *find(WorkerId);
@@ -485,7 +525,11 @@
 }
 
 std::vector<std::string> Simulation::violations() const {
-  return checkHistory(Observed, Specs, Config->Queues.front().MaxAttempts);
+  std::vector<std::string> Violations =
+      checkHistory(Observed, Specs, Config->Queues.front().MaxAttempts);
+  Violations.insert(Violations.end(), Observed.Overloads.begin(),
+                    Observed.Overloads.end());
+  return Violations;
 }
 
 } // namespace balsamlatch::dispatch::test
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -36,6 +36,8 @@
   std::vector<RunTrace> Runs;
   std::map<JobId, Instant> CompletedAt;
   std::map<JobId, Instant> CancelledAt;
+  /// Starts that took a worker over its capacity.
+  std::vector<std::string> Overloads;
 };
 
 /// Returns the violations of the guarantees of the dispatcher: runs of a task
@@ -52,6 +54,9 @@
 public:
   WorkerRecord Record;
   bool IsDown = false;
+  /// Capacity before the last change, which orders on their way may rely on.
+  Resources FormerCapacity;
+  Instant CapacityChangedAt{};
   /// The process has ended and is not started again yet.
   bool HasCrashed = false;
   /// All runs end as failed.
@@ -59,6 +64,8 @@
   /// Runs make no progress.
   bool Hangs = false;
   Duration RunDuration = std::chrono::milliseconds(400);
+  /// Time from a stop order to the end of the run.
+  Duration StopDuration{};
   /// Start orders must carry this ticket; empty for none.
   std::string RequiredTicket;
 
@@ -87,6 +94,7 @@
     bool LongRunning = false;
     Instant StartedAt{};
     WorkerClock LeaseUntil{};
+    std::optional<Instant> StopsAt;
     std::size_t TraceIndex = 0;
   };
 
@@ -116,6 +124,8 @@
   void submit(const std::string &Id, jobs::JobSpec Spec);
   void submit(const std::string &Id, jobs::JobSpec Spec, const Queue &JobQueue);
   void cancel(const std::string &Id);
+  /// Changes the capacity of the worker, as its registration shows at once.
+  void setCapacity(FakeWorker &Worker, Resources Capacity);
   /// Advances time in steps of 5 ms.
   void run(Duration Time);
   /// Starts the term of a new lease holder with the jobs in the journal.
@@ -169,6 +179,8 @@
   /// Ends the worker process under the run, and starts it again later.
   void crashUnderRun(const std::string &WorkerId, const StartOrder &Order);
   bool isLongRunning(const TaskRef &Task) const;
+  /// Adds an overload if the runs on the worker take more than its capacity.
+  void checkLoad(const FakeWorker &Worker);
 
   std::map<JobId, jobs::JobSpec> Specs;
   std::vector<jobs::JobEvent> RequestedEvents;
