jobs: A job with a long schedule takes bounded memory

Cause: up to 100 due occurrences of a job are planned together, each with up to 20,000 tasks, and their records are made with the first placement: 2,000,000 records of some 110 bytes, where an entry has 160 to 512 MB.

At most MaxPlannedTasks tasks of a job are planned at a time, and the records of a completed occurrence are dropped.

--- a/Source/Jobs/JobTable.cpp
+++ b/Source/Jobs/JobTable.cpp
@@ -24,6 +24,7 @@
   return Occurrence;
 }
 
+/// Also true for a completed occurrence whose records were dropped.
 bool isComplete(const OccurrenceRecord &Occurrence) {
   return std::all_of(
       Occurrence.begin(), Occurrence.end(), [](const StepRecord &Tasks) {
@@ -34,21 +35,34 @@
       });
 }
 
-void advanceFirstOpenOccurrence(Job &ParentJob) {
-  auto It = ParentJob.Record.Occurrences.find(ParentJob.FirstOpenOccurrence);
-  while (It != ParentJob.Record.Occurrences.end() &&
-         It->first == ParentJob.FirstOpenOccurrence && isComplete(It->second)) {
-    ++ParentJob.FirstOpenOccurrence;
-    ++It;
+std::uint64_t countTasksPerOccurrence(const JobSpec &Spec) {
+  std::uint64_t Count = 0;
+  for (const StepSpec &Step : Spec.Steps) {
+    Count += Step.Count;
   }
+  return Count;
 }
 
 std::uint64_t countTasks(const JobSpec &Spec) {
-  std::uint64_t Count = 0;
-  for (const StepSpec &Step : Spec.Steps) {
-    Count += Step.Count;
+  return countTasksPerOccurrence(Spec) * Spec.occurrenceCount();
+}
+
+/// Drops the task records of the occurrence if it is complete. A long schedule
+/// would fill the memory otherwise.
+void dropIfComplete(Job &ParentJob, unsigned Occurrence) {
+  std::map<unsigned, OccurrenceRecord> &Occurrences =
+      ParentJob.Record.Occurrences;
+  const auto OccurrenceIt = Occurrences.find(Occurrence);
+  if (OccurrenceIt == Occurrences.end() || !isComplete(OccurrenceIt->second)) {
+    return;
+  }
+  OccurrenceIt->second = OccurrenceRecord();
+  unsigned &FirstOpen = ParentJob.Record.FirstOpenOccurrence;
+  while (!Occurrences.empty() && Occurrences.begin()->first == FirstOpen &&
+         isComplete(Occurrences.begin()->second)) {
+    Occurrences.erase(Occurrences.begin());
+    ++FirstOpen;
   }
-  return Count * Spec.occurrenceCount();
 }
 
 /// Marks every task of a gang as done: the gang is done when one member is.
@@ -153,10 +167,13 @@
 }
 
 std::vector<unsigned> Job::dueOccurrences(WallTime Now) const {
+  const std::size_t MaxDue = std::clamp<std::size_t>(
+      MaxPlannedTasks /
+          std::max<std::uint64_t>(1, countTasksPerOccurrence(spec())),
+      1, MaxPlannedOccurrences);
   std::vector<unsigned> Due;
-  for (unsigned Occurrence = FirstOpenOccurrence;
-       Occurrence < spec().occurrenceCount() &&
-       Due.size() < MaxPlannedOccurrences &&
+  for (unsigned Occurrence = Record.FirstOpenOccurrence;
+       Occurrence < spec().occurrenceCount() && Due.size() < MaxDue &&
        (spec().RunSchedule.Repeats == 0 || dueTime(Occurrence) <= Now);
        ++Occurrence) {
     const auto It = Record.Occurrences.find(Occurrence);
@@ -221,7 +238,8 @@
 TaskRecord *JobTable::findTask(Job &ParentJob, const TaskRef &Task) {
   auto It = ParentJob.Record.Occurrences.find(Task.Occurrence);
   if (It == ParentJob.Record.Occurrences.end()) {
-    if (Task.Occurrence >= ParentJob.spec().occurrenceCount()) {
+    if (Task.Occurrence < ParentJob.Record.FirstOpenOccurrence ||
+        Task.Occurrence >= ParentJob.spec().occurrenceCount()) {
       return nullptr;
     }
     It = ParentJob.Record.Occurrences
@@ -315,7 +333,7 @@
     completeGang(Members, *ParentJob);
   }
   if (IsTaskDone) {
-    advanceFirstOpenOccurrence(*ParentJob);
+    dropIfComplete(*ParentJob, Event.Task.Occurrence);
   }
 }
 
@@ -374,8 +392,12 @@
   RestoredJob = Job();
   RestoredJob.Record = Event;
   RestoredJob.FirstSequence = Sequence;
-  RestoredJob.OpenTasks = countTasks(Event.Accepted.Spec);
+  const std::uint64_t TasksPerOccurrence =
+      countTasksPerOccurrence(Event.Accepted.Spec);
+  RestoredJob.OpenTasks = countTasks(Event.Accepted.Spec) -
+                          TasksPerOccurrence * Event.FirstOpenOccurrence;
   for (const auto &[OccurrenceIndex, Steps] : Event.Occurrences) {
+    RestoredJob.OpenTasks -= Steps.empty() ? TasksPerOccurrence : 0;
     for (const StepRecord &Step : Steps) {
       for (const TaskRecord &Task : Step) {
         RestoredJob.OpenTasks -= Task.Phase == TaskPhase::Done ? 1 : 0;
@@ -385,7 +407,10 @@
       }
     }
   }
-  advanceFirstOpenOccurrence(RestoredJob);
+  // Earlier versions wrote the records of completed occurrences.
+  for (const auto &[OccurrenceIndex, Steps] : Event.Occurrences) {
+    dropIfComplete(RestoredJob, OccurrenceIndex);
+  }
   adjustPendingCount(RestoredJob, 1);
 }
 
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -218,18 +218,23 @@
     }
     Occurrences.push_back(json::array{OccurrenceIndex, std::move(StepList)});
   }
-  return {"s",
-          acceptedArray(Event.Accepted),
-          static_cast<int>(Event.State),
-          Event.ClosedAt.time_since_epoch().count(),
-          Event.EverPlaced,
-          std::move(Occurrences)};
+  json::array Fields = {"s",
+                        acceptedArray(Event.Accepted),
+                        static_cast<int>(Event.State),
+                        Event.ClosedAt.time_since_epoch().count(),
+                        Event.EverPlaced,
+                        std::move(Occurrences)};
+  if (Event.FirstOpenOccurrence > 0) {
+    Fields.emplace_back(Event.FirstOpenOccurrence);
+  }
+  return Fields;
 }
 
-/// Throws unless the records match the steps of the specification.
+/// Throws unless the records match the steps of the specification, or are
+/// absent as those of a completed occurrence.
 void checkOccurrence(const JobSpec &Spec, unsigned OccurrenceIndex,
                      const OccurrenceRecord &Occurrence) {
-  bool Matches = Occurrence.size() == Spec.Steps.size();
+  bool Matches = Occurrence.empty() || Occurrence.size() == Spec.Steps.size();
   for (std::size_t Step = 0; Matches && Step < Occurrence.size(); ++Step) {
     Matches = Occurrence[Step].size() <= Spec.Steps[Step].Count;
   }
@@ -259,6 +264,17 @@
     }
     checkOccurrence(Event.Accepted.Spec, OccurrenceIndex, Steps);
   }
+  // Absent while the first occurrence is open.
+  if (!Reader.atEnd()) {
+    Event.FirstOpenOccurrence = Reader.number<unsigned>();
+  }
+  const unsigned Count = Event.Accepted.Spec.occurrenceCount();
+  if (Event.FirstOpenOccurrence > Count ||
+      (!Event.Occurrences.empty() &&
+       (Event.Occurrences.begin()->first < Event.FirstOpenOccurrence ||
+        Event.Occurrences.rbegin()->first >= Count))) {
+    throw std::out_of_range("an occurrence is outside the job's schedule");
+  }
   return Event;
 }
 
--- a/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
@@ -183,8 +183,12 @@
   WallTime ClosedAt{};
   /// Whether a task of the job was ever placed.
   bool EverPlaced = false;
-  /// By occurrence index; occurrences without a placed task are absent.
+  /// By occurrence index. Occurrences without a placed task are absent, as are
+  /// those before FirstOpenOccurrence. A record without steps stands for a
+  /// completed occurrence.
   std::map<unsigned, OccurrenceRecord> Occurrences;
+  /// All tasks of the occurrences before this one are Done.
+  unsigned FirstOpenOccurrence = 0;
 
   auto operator<=>(const JobSnapshot &) const = default;
 };
--- a/Source/Jobs/include/balsamlatch/Jobs/JobTable.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobTable.h
@@ -16,6 +16,8 @@
 /// Bounds the time that planning spends on one job whose schedule is far
 /// behind.
 inline constexpr std::size_t MaxPlannedOccurrences = 100;
+/// Bounds the memory for the tasks of one job, together with MaxTasksPerJob.
+inline constexpr std::size_t MaxPlannedTasks = 2 * MaxTasksPerJob;
 
 /// The state of one job, with counters derived from its tasks.
 struct Job {
@@ -29,8 +31,6 @@
   unsigned PlacedTasks = 0;
   /// Invariant: the largest CrashScore of a task.
   std::uint32_t LargestCrashScore = 0;
-  /// Invariant: all tasks of the occurrences before this one are Done.
-  unsigned FirstOpenOccurrence = 0;
 
   const JobSpec &spec() const { return Record.Accepted.Spec; }
   const JobId &id() const { return Record.Accepted.Job; }
@@ -47,7 +47,8 @@
   /// the acceptance time of a job without a schedule.
   WallTime dueTime(unsigned Occurrence) const;
   /// The occurrences to plan now: those due at \p Now that have open tasks, at
-  /// most MaxPlannedOccurrences of them, the earliest first.
+  /// most MaxPlannedOccurrences of them and at most MaxPlannedTasks tasks, the
+  /// earliest first.
   std::vector<unsigned> dueOccurrences(WallTime Now) const;
   /// The state of a task; null if it is out of range or if its occurrence has
   /// no records yet.
