dispatch, jobs: Only confirmed starts count against a task

Cause: innocent tasks were given up. Where workers crash by themselves, a start that is ordered to a worker which is already down counted as one that crashed it, and so did a crash some seconds after the start; a few crashes in a row, and the job failed.

Now a crash counts only if the worker had confirmed the start and gave no sign of life 100 ms later. A run of an earlier leader whose worker is gone before the new leader reaches it counts once, and is not isolated: otherwise a task that meets a change of the leader with each crash is never given up. All other runs on a crashed worker are lost, as before.

Also, the members of a gang waited to be isolated one after another, 2 s each.

TasksOnFlappingWorkersAreNotGivenUp and AGangOfSuspectsWaitsOnce failed before.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -133,7 +133,6 @@
                                Task.Worker.Incarnation);
         Run.Phase = RunPhase::Uncertain;
         Run.FromEarlierTerm = true;
-        Run.HasSettled = true;
         if (Run.BestEffort) {
           Run.Pace.reset();
           Worker.TargetPace = {AdoptedPacePercent, TermStart};
@@ -403,9 +402,12 @@
 
 RunOutcome Dispatcher::crashOutcome(const WorkerState &Worker,
                                     const RunState &Run) {
-  if (Run.HasSettled) {
-    // A long-running task meets crashes of other causes in its time.
-    return Run.LongRunning ? RunOutcome::Lost : RunOutcome::WorkerCrashed;
+  if (Run.FromEarlierTerm) {
+    return Worker.HasReported ? RunOutcome::Lost : RunOutcome::WorkerCrashed;
+  }
+  // A start that wasn't confirmed may have met a worker that was down already.
+  if (Run.StartedAt == Instant() || Run.HasSettled) {
+    return RunOutcome::Lost;
   }
   const auto OrderedRuns = std::count_if(
       Worker.Runs.begin(), Worker.Runs.end(), [](const auto &RunEntry) {
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -347,9 +347,7 @@
   for (const unsigned Index : TaskIndexes) {
     WorkerState *Worker = chooseWorker(Candidate, Index, UsableWorkers);
     if (Worker == nullptr) {
-      if (mustIsolate(Candidate, Index)) {
-        Isolation.noteWait(Candidate.task(Index), Candidate.Pool, Time.now());
-      }
+      noteIsolationWaits(Candidate, TaskIndexes);
       break;
     }
     RunState Reservation;
@@ -376,6 +374,15 @@
                                Time.now());
 }
 
+void Dispatcher::noteIsolationWaits(const WaitingStep &Candidate,
+                                    const std::vector<unsigned> &TaskIndexes) {
+  for (const unsigned Index : TaskIndexes) {
+    if (mustIsolate(Candidate, Index)) {
+      Isolation.noteWait(Candidate.task(Index), Candidate.Pool, Time.now());
+    }
+  }
+}
+
 WorkerState *Dispatcher::chooseWorker(
     const WaitingStep &Candidate, unsigned Index,
     const std::vector<WorkerState *> &UsableWorkers) const {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -160,17 +160,17 @@
   void closeIfDone(const JobId &Id);
   /// Declares all runs on the worker lost.
   void endAllAsLost(WorkerState &Worker, std::string_view Reason);
-  /// The worker process of all runs before \p Incarnation has ended. Its runs
-  /// count as crashed if that wasn't planned.
+  /// The worker process of all runs before \p Incarnation has ended. If that
+  /// wasn't planned, the runs that it had just started may be the cause.
   void handleWorkerGone(WorkerState &Worker, std::int64_t Incarnation,
                         std::string_view Reason);
-  /// How the run counts if its worker has crashed.
+  /// How the run ends if its worker has crashed.
   static jobs::RunOutcome crashOutcome(const WorkerState &Worker,
                                        const RunState &Run);
-  /// Remembers the runs of a worker that can't be reached, before they are
-  /// declared lost.
+  /// Remembers the runs that may have crashed the worker, which can't be
+  /// reached, before they are declared lost.
   static void notePossibleCrashes(WorkerState &Worker);
-  /// Records the crash for the runs that were declared lost before.
+  /// The worker has crashed: records that for the remembered runs.
   void confirmPossibleCrashes(WorkerState &Worker);
   void logLostRun(const WorkerState &Worker, const TaskRef &Task,
                   const RunState &Run, std::string_view Reason) const;
@@ -232,6 +232,9 @@
                       Instant WaitingSince,
                       const std::vector<WorkerState *> &UsableWorkers);
   bool mustIsolate(const WaitingStep &Candidate, unsigned Index) const;
+  /// Members of a gang wait together for workers of their own.
+  void noteIsolationWaits(const WaitingStep &Candidate,
+                          const std::vector<unsigned> &TaskIndexes);
   WorkerState *
   chooseWorker(const WaitingStep &Candidate, unsigned Index,
                const std::vector<WorkerState *> &UsableWorkers) const;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -78,7 +78,7 @@
 struct PossibleCrash {
   TaskRef Task;
   std::uint32_t Run = 0;
-  jobs::RunOutcome Outcome = jobs::RunOutcome::WorkerCrashed;
+  jobs::RunOutcome Outcome = jobs::RunOutcome::WorkerCrashedOnStart;
 };
 
 /// A worker, its runs, and the times of the next orders to it.
--- a/Source/Jobs/JobTable.cpp
+++ b/Source/Jobs/JobTable.cpp
@@ -349,7 +349,8 @@
     Task.IsCrashSuspect = Task.IsCrashSuspect && !HasRun;
     return;
   }
-  Task.IsCrashSuspect = Event.Outcome != RunOutcome::WorkerCrashed;
+  Task.IsCrashSuspect =
+      Task.IsCrashSuspect || Event.Outcome != RunOutcome::WorkerCrashed;
   Task.LastCrashedRun = Event.Run;
   Task.CrashScore += Event.Outcome == RunOutcome::WorkerCrashedAlone ? 2 : 1;
   ParentJob.LargestCrashScore =
--- a/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
@@ -59,16 +59,17 @@
   GangAborted,
   /// The worker refused the start order; nothing ran.
   Refused,
-  /// The worker crashed when the run had been on it for a while.
+  /// The worker crashed around a change of the lease holder, so it isn't known
+  /// how soon after the start.
   WorkerCrashed,
-  /// The worker crashed soon after the run started, so its start is a possible
-  /// cause.
+  /// The worker crashed soon after it had confirmed the start, so the start is
+  /// a possible cause.
   WorkerCrashedOnStart,
   /// The same, and no other run was on the worker.
   WorkerCrashedAlone,
 };
 
-/// Whether the run ended with a crash of its worker.
+/// Whether the start of the run may have crashed its worker.
 constexpr bool isCrash(RunOutcome Outcome) {
   return Outcome == RunOutcome::WorkerCrashed ||
          Outcome == RunOutcome::WorkerCrashedOnStart ||
@@ -158,8 +159,8 @@
   std::uint32_t LastFailedRun = 0;
   WorkerInstance Worker;
   std::string Checkpoint;
-  /// Crashes of workers under runs of the task. A crash with no other run on
-  /// the worker counts twice.
+  /// Crashes of workers that the start of the task may have caused. A crash
+  /// with no other run on the worker counts twice.
   std::uint32_t CrashScore = 0;
   /// Number of the last run with such a crash; 0 for none.
   std::uint32_t LastCrashedRun = 0;
--- a/Tests/Dispatch/CrashingTaskTest.cpp
+++ b/Tests/Dispatch/CrashingTaskTest.cpp
@@ -72,7 +72,7 @@
   }
   Sim.run(20s);
   BOOST_TEST((Sim.job("deadly").Record.State == jobs::JobState::Failed));
-  BOOST_TEST(countCrashes(Sim) <= 3U);
+  BOOST_TEST(countCrashes(Sim) <= 5U);
   BOOST_TEST(Sim.violations().empty());
 }
 
@@ -131,6 +131,41 @@
   BOOST_TEST(Sim.job("j").LargestCrashScore == 0U);
 }
 
+// Tasks whose workers died before the start, or some time after it, were given
+// up.
+BOOST_AUTO_TEST_CASE(TasksOnFlappingWorkersAreNotGivenUp) {
+  Simulation Sim(2);
+  jobs::JobSpec LongRunning = simpleJob(4);
+  LongRunning.Steps.front().LongRunning = true;
+  Sim.submit("long", LongRunning);
+  Sim.submit("j", simpleJob(40));
+  for (unsigned Crash = 0; Crash < 30; ++Crash) {
+    FakeWorker &Worker = Sim.Workers[Crash % 2];
+    Sim.run(150ms);
+    Worker.endAll(Sim.Time.now(), Sim.Observed);
+    Worker.HasCrashed = true;
+    Sim.run(150ms);
+    Worker.crash(Sim.Time.now(), Sim.Observed);
+  }
+  Sim.run(20s);
+  BOOST_TEST((Sim.job("j").Record.State == jobs::JobState::Completed));
+  BOOST_TEST((Sim.job("long").Record.State == jobs::JobState::Running));
+}
+
+// The members of a gang waited to be isolated one after another.
+BOOST_AUTO_TEST_CASE(AGangOfSuspectsWaitsOnce) {
+  Simulation Sim(2);
+  jobs::JobSpec Gang = simpleJob(6);
+  Gang.Steps.front().Gang = true;
+  Sim.submit("gang", Gang);
+  Sim.run(40ms);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.crash(Sim.Time.now(), Sim.Observed);
+  }
+  Sim.run(6s);
+  BOOST_TEST((Sim.job("gang").Record.State == jobs::JobState::Completed));
+}
+
 // A worker stayed reserved for tasks that were no longer isolated.
 BOOST_AUTO_TEST_CASE(AReservedWorkerIsReleasedWhenNoTaskCanUseIt) {
   const PoolName Pool("pool");
--- a/Tests/Jobs/JobTableTest.cpp
+++ b/Tests/Jobs/JobTableTest.cpp
@@ -19,8 +19,8 @@
   Spec.Steps.emplace_back().Count = TasksPerOccurrence;
   Spec.RunSchedule.Repeats = Repeats;
   JobTable Table;
-  Table.apply(
-      JobAccepted{RepeatedJob, QueueName("q"), PoolName("p"), Spec, {}}, 1);
+  Table.apply(JobAccepted{RepeatedJob, QueueName("q"), PoolName("p"), Spec, {}},
+              1);
   return Table;
 }
 
