jobs, dispatch: A run that survives its start clears its task of crashes

What callers would see: a long-running job fails after some weeks, when the third of its starts has met a crash by chance. A crash score never fell.

A run that is lost after it had survived its start is now recorded as such, and sets the score to 0, as an end of its own does. The task stays isolated on its next start until a run ends by itself: clearing that too made TasksOnFlappingWorkersAreNotGivenUp fail, as more starts met the next crash.

ATaskThatSurvivesItsStartIsClearedOfCrashes failed before.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -30,6 +30,7 @@
   case RunOutcome::Stopped:
     return "stopped";
   case RunOutcome::Lost:
+  case RunOutcome::LostAfterStart:
     return "lost";
   case RunOutcome::GangAborted:
     return "gang-broken";
@@ -318,7 +319,7 @@
   if (Job->OpenTasks == 0) {
     State = jobs::JobState::Completed;
     Reason = "all tasks are done";
-  } else if (Job->LargestCrashScore >= jobs::MaxCrashScore) {
+  } else if (Job->HasCrashingTask) {
     Reason = "a task crashes the workers that start it";
   } else {
     const Queue *JobQueue =
@@ -334,8 +335,7 @@
       {{"job", Id.Text},
        {"state", State == jobs::JobState::Completed ? "completed" : "failed"},
        {"why", Reason},
-       {"failures", Job->maxFailures()},
-       {"crash_score", Job->LargestCrashScore}});
+       {"failures", Job->maxFailures()}});
 }
 
 void Dispatcher::releaseClaim(WorkerState &Worker, RunState &Run) {
@@ -396,18 +396,22 @@
       continue;
     }
     logLostRun(Worker, Task, Run, Reason);
-    proposeEnd(Worker, Task, Run, RunOutcome::Lost, Run.Checkpoint);
+    proposeEnd(Worker, Task, Run, lostOutcome(Run), Run.Checkpoint);
   }
 }
 
+RunOutcome Dispatcher::lostOutcome(const RunState &Run) {
+  return Run.HasSettled ? RunOutcome::LostAfterStart : RunOutcome::Lost;
+}
+
 RunOutcome Dispatcher::crashOutcome(const WorkerState &Worker,
                                     const RunState &Run) {
-  if (Run.FromEarlierTerm) {
-    return Worker.HasReported ? RunOutcome::Lost : RunOutcome::WorkerCrashed;
+  if (Run.FromEarlierTerm && !Worker.HasReported) {
+    return RunOutcome::WorkerCrashed;
   }
   // A start that wasn't confirmed may have met a worker that was down already.
-  if (Run.StartedAt == Instant() || Run.HasSettled) {
-    return RunOutcome::Lost;
+  if (Run.FromEarlierTerm || Run.StartedAt == Instant() || Run.HasSettled) {
+    return lostOutcome(Run);
   }
   const auto OrderedRuns = std::count_if(
       Worker.Runs.begin(), Worker.Runs.end(), [](const auto &RunEntry) {
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -283,7 +283,7 @@
         (Run.FromEarlierTerm ||
          (Run.StopConfirmedAt && *Run.StopConfirmedAt < SentAt));
     if (HasEnded || CannotStart) {
-      proposeEnd(Worker, Task, Run, RunOutcome::Lost, Run.Checkpoint);
+      proposeEnd(Worker, Task, Run, lostOutcome(Run), Run.Checkpoint);
     }
   }
 }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -164,6 +164,8 @@
   /// wasn't planned, the runs that it had just started may be the cause.
   void handleWorkerGone(WorkerState &Worker, std::int64_t Incarnation,
                         std::string_view Reason);
+  /// How the run ends if nothing more is known of it.
+  static jobs::RunOutcome lostOutcome(const RunState &Run);
   /// How the run ends if its worker has crashed.
   static jobs::RunOutcome crashOutcome(const WorkerState &Worker,
                                        const RunState &Run);
--- a/Source/Jobs/JobTable.cpp
+++ b/Source/Jobs/JobTable.cpp
@@ -344,17 +344,22 @@
     return;
   }
   if (!isCrash(Event.Outcome)) {
-    const bool HasRun = Event.Outcome != RunOutcome::Lost &&
-                        Event.Outcome != RunOutcome::Refused;
-    Task.IsCrashSuspect = Task.IsCrashSuspect && !HasRun;
+    if (Event.Outcome != RunOutcome::Lost &&
+        Event.Outcome != RunOutcome::Refused) {
+      // Where workers crash by themselves, the next start may meet a crash
+      // again.
+      Task.IsCrashSuspect =
+          Task.IsCrashSuspect && Event.Outcome == RunOutcome::LostAfterStart;
+      Task.CrashScore = 0;
+    }
     return;
   }
   Task.IsCrashSuspect =
       Task.IsCrashSuspect || Event.Outcome != RunOutcome::WorkerCrashed;
   Task.LastCrashedRun = Event.Run;
   Task.CrashScore += Event.Outcome == RunOutcome::WorkerCrashedAlone ? 2 : 1;
-  ParentJob.LargestCrashScore =
-      std::max(ParentJob.LargestCrashScore, Task.CrashScore);
+  ParentJob.HasCrashingTask =
+      ParentJob.HasCrashingTask || Task.CrashScore >= MaxCrashScore;
 }
 
 void JobTable::applyEvent(const CheckpointSaved &Event,
@@ -403,8 +408,8 @@
       for (const TaskRecord &Task : Step) {
         RestoredJob.OpenTasks -= Task.Phase == TaskPhase::Done ? 1 : 0;
         RestoredJob.PlacedTasks += Task.Phase == TaskPhase::Placed ? 1 : 0;
-        RestoredJob.LargestCrashScore =
-            std::max(RestoredJob.LargestCrashScore, Task.CrashScore);
+        RestoredJob.HasCrashingTask =
+            RestoredJob.HasCrashingTask || Task.CrashScore >= MaxCrashScore;
       }
     }
   }
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -321,7 +321,7 @@
     return Event;
   }
   if (Kind == 'e') {
-    const auto End = readEnum(Reader, RunOutcome::WorkerCrashedAlone);
+    const auto End = readEnum(Reader, RunOutcome::LostAfterStart);
     return TaskEnded{Task, Run, End, Reader.text()};
   }
   return CheckpointSaved{Task, Run, Reader.text()};
--- a/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
@@ -67,6 +67,8 @@
   WorkerCrashedOnStart,
   /// The same, and no other run was on the worker.
   WorkerCrashedAlone,
+  /// Lost some time after its start, so that its start crashed no worker.
+  LostAfterStart,
 };
 
 /// Whether the start of the run may have crashed its worker.
@@ -159,8 +161,9 @@
   std::uint32_t LastFailedRun = 0;
   WorkerInstance Worker;
   std::string Checkpoint;
-  /// Crashes of workers that the start of the task may have caused. A crash
-  /// with no other run on the worker counts twice.
+  /// Crashes of workers that the start of the task may have caused, since the
+  /// last run that survived its start. A crash with no other run on the worker
+  /// counts twice.
   std::uint32_t CrashScore = 0;
   /// Number of the last run with such a crash; 0 for none.
   std::uint32_t LastCrashedRun = 0;
--- a/Source/Jobs/include/balsamlatch/Jobs/JobTable.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobTable.h
@@ -17,7 +17,7 @@
 /// behind.
 inline constexpr std::size_t MaxPlannedOccurrences = 100;
 /// Bounds the memory for the tasks of one job, together with MaxTasksPerJob.
-inline constexpr std::size_t MaxPlannedTasks = 2 * MaxTasksPerJob;
+inline constexpr std::size_t MaxPlannedTasks = std::size_t{2} * MaxTasksPerJob;
 
 /// The state of one job, with counters derived from its tasks.
 struct Job {
@@ -29,8 +29,8 @@
   std::uint64_t OpenTasks = 0;
   /// Invariant: number of tasks that are Placed.
   unsigned PlacedTasks = 0;
-  /// Invariant: the largest CrashScore of a task.
-  std::uint32_t LargestCrashScore = 0;
+  /// A task has reached MaxCrashScore.
+  bool HasCrashingTask = false;
 
   const JobSpec &spec() const { return Record.Accepted.Spec; }
   const JobId &id() const { return Record.Accepted.Job; }
@@ -88,8 +88,8 @@
   /// The state of a task, created with its occurrence on first use; null if it
   /// is out of range.
   TaskRecord *findTask(Job &ParentJob, const TaskRef &Task);
-  /// Counts a crash of a worker under a run of the task, once for each run, and
-  /// keeps account of whether the task is a suspect.
+  /// Counts a crash of a worker under a run of the task, once for each run, or
+  /// clears the task after a run that survived its start.
   static void updateCrashes(Job &ParentJob, TaskRecord &Task,
                             const TaskEnded &Event);
   /// Adds \p Delta to the pending count of the queue if the job is pending.
--- a/Tests/Dispatch/CrashingTaskTest.cpp
+++ b/Tests/Dispatch/CrashingTaskTest.cpp
@@ -117,7 +117,9 @@
 // Tasks of a worker that was out of reach, but did not crash, keep their score.
 BOOST_AUTO_TEST_CASE(AWorkerOutOfReachIsNoCrash) {
   Simulation Sim(2);
-  Sim.submit("j", simpleJob(1));
+  jobs::JobSpec LongRunning = simpleJob(1);
+  LongRunning.Steps.front().LongRunning = true;
+  Sim.submit("j", LongRunning);
   Sim.run(30ms);
   for (FakeWorker &Worker : Sim.Workers) {
     Worker.IsDown = true;
@@ -127,8 +129,9 @@
     Worker.IsDown = false;
   }
   Sim.run(10s);
-  BOOST_TEST((Sim.job("j").Record.State == jobs::JobState::Completed));
-  BOOST_TEST(Sim.job("j").LargestCrashScore == 0U);
+  BOOST_TEST((Sim.job("j").Record.State == jobs::JobState::Running));
+  const TaskRef Task{JobId("j"), 0, 0, 0};
+  BOOST_TEST(Sim.job("j").find(Task)->CrashScore == 0U);
 }
 
 // Tasks whose workers died before the start, or some time after it, were given
@@ -152,6 +155,26 @@
   BOOST_TEST((Sim.job("long").Record.State == jobs::JobState::Running));
 }
 
+// Crashes in the long life of a task added up until it was given up.
+BOOST_AUTO_TEST_CASE(ATaskThatSurvivesItsStartIsClearedOfCrashes) {
+  Simulation Sim(3);
+  jobs::JobSpec LongRunning = simpleJob(1);
+  LongRunning.Steps.front().LongRunning = true;
+  Sim.submit("long", LongRunning);
+  // Every second start meets a crash of its worker that it doesn't cause.
+  Sim.CrashesWorker = [&Sim](const TaskRef &) {
+    return Sim.Observed.Runs.size() % 2 == 1;
+  };
+  for (unsigned Crash = 0; Crash < 8; ++Crash) {
+    Sim.run(5s);
+    for (FakeWorker &Worker : Sim.Workers) {
+      Worker.crash(Sim.Time.now(), Sim.Observed);
+    }
+  }
+  Sim.run(10s);
+  BOOST_TEST((Sim.job("long").Record.State == jobs::JobState::Running));
+}
+
 // The members of a gang waited to be isolated one after another.
 BOOST_AUTO_TEST_CASE(AGangOfSuspectsWaitsOnce) {
   Simulation Sim(2);
--- a/Tests/Jobs/JournalCodecTest.cpp
+++ b/Tests/Jobs/JournalCodecTest.cpp
@@ -39,6 +39,7 @@
     R"(["e","j",1,2,3,10,6,"c"],)"
     R"(["e","j",1,2,3,11,7,"c"],)"
     R"(["e","j",1,2,3,12,8,"c"],)"
+    R"(["e","j",1,2,3,13,9,"c"],)"
     R"(["c","j",1,2,3,4,"d"],)"
     R"(["z","j",0,7000000],)"
     R"(["z","j",1,7000000],)"
@@ -195,6 +196,7 @@
           TaskEnded{Task, 10, RunOutcome::WorkerCrashed, "c"},
           TaskEnded{Task, 11, RunOutcome::WorkerCrashedOnStart, "c"},
           TaskEnded{Task, 12, RunOutcome::WorkerCrashedAlone, "c"},
+          TaskEnded{Task, 13, RunOutcome::LostAfterStart, "c"},
           CheckpointSaved{Task, 4, "d"},
           JobClosed{Job, JobState::Queued, WallTime(7s)},
           JobClosed{Job, JobState::Running, WallTime(7s)},
@@ -312,9 +314,10 @@
   BOOST_REQUIRE(Stored.ok());
   JobTable Restored;
   Restored.apply(Stored->front(), 4);
-  BOOST_TEST(Restored.find(Task.Job)->LargestCrashScore == 1U);
+  BOOST_TEST(Restored.find(Task.Job)->find(Task)->CrashScore == 1U);
   BOOST_TEST(Restored.find(Task.Job)->find(Task)->IsCrashSuspect);
   Restored.apply(TaskPlaced{Task, 2, {.Id = "w", .Incarnation = 6}}, 5);
   Restored.apply(TaskEnded{Task, 2, RunOutcome::Stopped, ""}, 6);
   BOOST_TEST(!Restored.find(Task.Job)->find(Task)->IsCrashSuspect);
+  BOOST_TEST(Restored.find(Task.Job)->find(Task)->CrashScore == 0U);
 }
