jobs, dispatch: Planning doesn't pay for what no job uses

Cause: processor time of the leader. To bound the planned tasks, dueOccurrences summed the steps of every open job in every planning pass. Besides, the runs of all workers were searched for isolated ones and for long-running tasks, whether or not any task was isolated.

Jobs without a schedule have one occurrence, which needs no sum.

--- a/Source/Dispatch/CrashIsolation.cpp
+++ b/Source/Dispatch/CrashIsolation.cpp
@@ -28,6 +28,10 @@
 }
 
 bool mayShareWorker(bool IsIsolated, const WorkerState &Worker) {
+  // Avoids a search of the runs for each worker that a task could use.
+  if (!IsIsolated && !Worker.MayHaveIsolatedRun) {
+    return true;
+  }
   return std::all_of(Worker.Runs.begin(), Worker.Runs.end(),
                      [IsIsolated](const auto &RunEntry) {
                        const RunState &Run = RunEntry.second;
@@ -71,6 +75,12 @@
         return Entry.second && Entry.second->Pool == Pool &&
                !Entry.second->isOver(Now);
       }));
+  if (WaitingTasks == 0) {
+    for (WorkerState *Worker : UsableWorkers) {
+      Worker->IsReserved = false;
+    }
+    return;
+  }
   const std::size_t MaxReserved =
       std::max<std::size_t>(1, UsableWorkers.size() / WorkersPerReservation);
   std::size_t FreeReservations = std::min(WaitingTasks, MaxReserved);
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -353,6 +353,8 @@
     RunState Reservation;
     Reservation.Claim = claimFor(Candidate.spec());
     Reservation.IsIsolated = mustIsolate(Candidate, Index);
+    Worker->MayHaveIsolatedRun =
+        Worker->MayHaveIsolatedRun || Reservation.IsIsolated;
     Worker->ClaimedResources += Reservation.Claim;
     Worker->Runs[Candidate.task(Index)] = Reservation;
     GangWorkers.push_back(Worker);
@@ -406,8 +408,7 @@
         (Candidate.Policy &&
          Permits.findTicket(stepOf(Task), Worker->Record.Instance,
                             PermitUntil) == nullptr) ||
-        ((IsIsolated || !Isolation.isUnused()) &&
-         !mayShareWorker(IsIsolated, *Worker))) {
+        !mayShareWorker(IsIsolated, *Worker)) {
       continue;
     }
     double Score = scoreWorker(*Worker, Step);
@@ -438,6 +439,7 @@
   const TaskRecord *Record = Candidate.record(Index);
   if (Record != nullptr && Record->IsCrashSuspect) {
     NewRun.IsIsolated = mustIsolate(Candidate, Index);
+    Worker.MayHaveIsolatedRun = Worker.MayHaveIsolatedRun || NewRun.IsIsolated;
     Log.write(LogLevel::Info, "suspect-placed",
               {{"job", Task.Job.Text},
                {"task", taskPath(Task)},
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -248,12 +248,16 @@
 }
 
 void Dispatcher::settleRuns(WorkerState &Worker) {
+  const Instant Now = Time.now();
+  Worker.MayHaveIsolatedRun = false;
   for (auto &[Task, Run] : Worker.Runs) {
     if (!Run.HasSettled && Run.StartedAt != Instant() &&
-        Time.now() - Run.StartedAt >= SettlingTime) {
+        Now - Run.StartedAt >= SettlingTime) {
       Run.HasSettled = true;
       PlanNeeded = PlanNeeded || Run.IsIsolated;
     }
+    Worker.MayHaveIsolatedRun =
+        Worker.MayHaveIsolatedRun || (Run.IsIsolated && !Run.HasSettled);
   }
 }
 
--- a/Source/Dispatch/include/balsamlatch/Dispatch/CrashIsolation.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/CrashIsolation.h
@@ -22,8 +22,6 @@
 public:
   void clear() { Tasks.clear(); }
   void removeJob(const JobId &Job);
-  /// Whether no run of this term is isolated and no task waits to be.
-  bool isUnused() const { return Tasks.empty(); }
 
   /// Whether the next run of the task must be isolated. \p Record is null if
   /// the task has not run yet.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -94,6 +94,9 @@
   bool IsCordoned = false;
   /// An order that ends all of its runs is open for its host.
   bool HostOrderPending = false;
+  /// Set while an isolated run has not settled, and until the next report after
+  /// such a run has ended.
+  bool MayHaveIsolatedRun = false;
   /// Kept free of all work but isolated runs.
   bool IsReserved = false;
   bool RenewalInFlight = false;
--- a/Source/Jobs/JobTable.cpp
+++ b/Source/Jobs/JobTable.cpp
@@ -167,10 +167,14 @@
 }
 
 std::vector<unsigned> Job::dueOccurrences(WallTime Now) const {
-  const std::size_t MaxDue = std::clamp<std::size_t>(
-      MaxPlannedTasks /
-          std::max<std::uint64_t>(1, countTasksPerOccurrence(spec())),
-      1, MaxPlannedOccurrences);
+  // Most jobs have no schedule, and planning asks for the occurrences of each.
+  const std::size_t MaxDue =
+      spec().RunSchedule.Repeats == 0
+          ? 1
+          : std::clamp<std::size_t>(
+                MaxPlannedTasks /
+                    std::max<std::uint64_t>(1, countTasksPerOccurrence(spec())),
+                1, MaxPlannedOccurrences);
   std::vector<unsigned> Due;
   for (unsigned Occurrence = Record.FirstOpenOccurrence;
        Occurrence < spec().occurrenceCount() && Due.size() < MaxDue &&
