jobs, dispatch: Crashes count against a task without confirmed starts too

What callers would see: where the replies of workers to starts are lost, one task takes down worker after worker again, and each crash takes other tasks with it.

Cause: only crashes with a confirmed start count, since an unconfirmed one may have met a worker that was down already.

Such a crash is now recorded as one, still adds nothing to the score, and counts among the crashes in a row since the last start that was survived: after two the task is isolated, after four it is given up, so that a crash that is noticed only after the next start is the fifth.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -42,6 +42,8 @@
     return "worker-crashed-on-start";
   case RunOutcome::WorkerCrashedAlone:
     return "worker-crashed-alone";
+  case RunOutcome::WorkerCrashedUnconfirmed:
+    return "worker-crashed-unconfirmed";
   }
   return "lost";
 }
@@ -409,10 +411,13 @@
   if (Run.FromEarlierTerm && !Worker.HasReported) {
     return RunOutcome::WorkerCrashed;
   }
-  // A start that wasn't confirmed may have met a worker that was down already.
-  if (Run.FromEarlierTerm || Run.StartedAt == Instant() || Run.HasSettled) {
+  if (Run.FromEarlierTerm || Run.HasSettled) {
     return lostOutcome(Run);
   }
+  // The start may have met a worker that was down already.
+  if (Run.StartedAt == Instant()) {
+    return RunOutcome::WorkerCrashedUnconfirmed;
+  }
   const auto OrderedRuns = std::count_if(
       Worker.Runs.begin(), Worker.Runs.end(), [](const auto &RunEntry) {
         return RunEntry.second.Phase != RunPhase::Ending &&
--- a/Source/Jobs/JobTable.cpp
+++ b/Source/Jobs/JobTable.cpp
@@ -120,6 +120,25 @@
   return Spec.Gang ? TotalFailures : MaxFailures;
 }
 
+/// Whether the crash of the worker points to the start of the run.
+bool pointsToStart(RunOutcome Outcome) {
+  return Outcome == RunOutcome::WorkerCrashedOnStart ||
+         Outcome == RunOutcome::WorkerCrashedAlone;
+}
+
+/// What the crash adds to the crash score of its task.
+std::uint32_t crashWeight(RunOutcome Outcome) {
+  switch (Outcome) {
+  case RunOutcome::WorkerCrashedAlone:
+    return 2;
+  case RunOutcome::WorkerCrashed:
+  case RunOutcome::WorkerCrashedOnStart:
+    return 1;
+  default:
+    return 0;
+  }
+}
+
 } // namespace
 
 std::string taskPath(const TaskRef &Task) {
@@ -355,15 +374,17 @@
       Task.IsCrashSuspect =
           Task.IsCrashSuspect && Event.Outcome == RunOutcome::LostAfterStart;
       Task.CrashScore = 0;
+      Task.ConsecutiveCrashes = 0;
     }
     return;
   }
-  Task.IsCrashSuspect =
-      Task.IsCrashSuspect || Event.Outcome != RunOutcome::WorkerCrashed;
+  ++Task.ConsecutiveCrashes;
+  Task.IsCrashSuspect = Task.IsCrashSuspect || Task.ConsecutiveCrashes > 1 ||
+                        pointsToStart(Event.Outcome);
   Task.LastCrashedRun = Event.Run;
-  Task.CrashScore += Event.Outcome == RunOutcome::WorkerCrashedAlone ? 2 : 1;
+  Task.CrashScore += crashWeight(Event.Outcome);
   ParentJob.HasCrashingTask =
-      ParentJob.HasCrashingTask || Task.CrashScore >= MaxCrashScore;
+      ParentJob.HasCrashingTask || Task.crashesWorkers();
 }
 
 void JobTable::applyEvent(const CheckpointSaved &Event,
@@ -413,7 +434,7 @@
         RestoredJob.OpenTasks -= Task.Phase == TaskPhase::Done ? 1 : 0;
         RestoredJob.PlacedTasks += Task.Phase == TaskPhase::Placed ? 1 : 0;
         RestoredJob.HasCrashingTask =
-            RestoredJob.HasCrashingTask || Task.CrashScore >= MaxCrashScore;
+            RestoredJob.HasCrashingTask || Task.crashesWorkers();
       }
     }
   }
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -178,10 +178,11 @@
                         json::string(Task.Worker.Id),
                         Task.Worker.Incarnation,
                         json::string(Task.Checkpoint)};
-  if (Task.CrashScore > 0) {
+  if (Task.ConsecutiveCrashes > 0) {
     Fields.emplace_back(Task.CrashScore);
     Fields.emplace_back(Task.LastCrashedRun);
     Fields.emplace_back(Task.IsCrashSuspect ? 1 : 0);
+    Fields.emplace_back(Task.ConsecutiveCrashes);
   }
   return Fields;
 }
@@ -201,6 +202,9 @@
     Task.CrashScore = Reader.number<std::uint32_t>();
     Task.LastCrashedRun = Reader.number<std::uint32_t>();
     Task.IsCrashSuspect = Reader.number<unsigned>() != 0;
+    // Absent in records of earlier versions.
+    Task.ConsecutiveCrashes =
+        Reader.atEnd() ? Task.CrashScore : Reader.number<std::uint32_t>();
   }
   return Task;
 }
@@ -321,7 +325,7 @@
     return Event;
   }
   if (Kind == 'e') {
-    const auto End = readEnum(Reader, RunOutcome::LostAfterStart);
+    const auto End = readEnum(Reader, RunOutcome::WorkerCrashedUnconfirmed);
     return TaskEnded{Task, Run, End, Reader.text()};
   }
   return CheckpointSaved{Task, Run, Reader.text()};
--- a/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
@@ -69,13 +69,17 @@
   WorkerCrashedAlone,
   /// Lost some time after its start, so that its start crashed no worker.
   LostAfterStart,
+  /// The worker crashed and had not confirmed the start, so it isn't known
+  /// whether the run was on it.
+  WorkerCrashedUnconfirmed,
 };
 
 /// Whether the start of the run may have crashed its worker.
 constexpr bool isCrash(RunOutcome Outcome) {
   return Outcome == RunOutcome::WorkerCrashed ||
          Outcome == RunOutcome::WorkerCrashedOnStart ||
-         Outcome == RunOutcome::WorkerCrashedAlone;
+         Outcome == RunOutcome::WorkerCrashedAlone ||
+         Outcome == RunOutcome::WorkerCrashedUnconfirmed;
 }
 
 enum class JobState { Queued, Running, Completed, Failed, Cancelled };
@@ -149,6 +153,10 @@
 /// A task with this crash score is taken to crash its workers, and its job
 /// fails: after the crashes of two to three workers.
 inline constexpr std::uint32_t MaxCrashScore = 3;
+/// So is a task whose last runs were on this many workers that crashed, even if
+/// none of them had confirmed the start. One more run may have started before
+/// the last of these crashes is noticed.
+inline constexpr std::uint32_t MaxConsecutiveCrashes = 4;
 
 /// The state of one task. Invariant: Worker is set while Phase is Placed.
 struct TaskRecord {
@@ -163,14 +171,22 @@
   std::string Checkpoint;
   /// Crashes of workers that the start of the task may have caused, since the
   /// last run that survived its start. A crash with no other run on the worker
-  /// counts twice.
+  /// counts twice, one without a confirmed start doesn't count.
   std::uint32_t CrashScore = 0;
+  /// Crashes since the last run that survived its start, also those of workers
+  /// that had not confirmed the start.
+  std::uint32_t ConsecutiveCrashes = 0;
   /// Number of the last run with such a crash; 0 for none.
   std::uint32_t LastCrashedRun = 0;
   /// The last run may have crashed its worker by its start, so the next run
   /// must not endanger others.
   bool IsCrashSuspect = false;
 
+  bool crashesWorkers() const {
+    return CrashScore >= MaxCrashScore ||
+           ConsecutiveCrashes >= MaxConsecutiveCrashes;
+  }
+
   auto operator<=>(const TaskRecord &) const = default;
 };
 
--- a/Tests/Dispatch/CrashingTaskTest.cpp
+++ b/Tests/Dispatch/CrashingTaskTest.cpp
@@ -102,6 +102,23 @@
   BOOST_TEST(countCrashes(Sim) <= 3U);
 }
 
+// A deadly task was started without limit if its workers crashed before their
+// reply to the start had arrived.
+BOOST_AUTO_TEST_CASE(ACrashingTaskWithoutConfirmedStartsIsGivenUp) {
+  for (const Duration DownTime : {1s, 3s, 6s}) {
+    Simulation Sim(5);
+    Sim.CrashDownTime = DownTime;
+    Sim.LosesAnswer = [](const WorkerOrder &Order) {
+      return std::holds_alternative<StartOrder>(Order);
+    };
+    addDeadlyJob(Sim, simpleJob(1));
+    Sim.run(60s);
+    BOOST_TEST((Sim.job("deadly").Record.State == jobs::JobState::Failed));
+    BOOST_TEST(countCrashes(Sim) <= 5U);
+    BOOST_TEST(Sim.violations().empty());
+  }
+}
+
 // A task is not at fault for the crashes of workers that it doesn't cause.
 BOOST_AUTO_TEST_CASE(ATaskThatLosesItsWorkerOnceIsNotGivenUp) {
   Simulation Sim(4);
--- a/Tests/Jobs/JournalCodecTest.cpp
+++ b/Tests/Jobs/JournalCodecTest.cpp
@@ -176,6 +176,7 @@
   TaskRecord SuspectTask = WaitingTask;
   SuspectTask.Run = 4;
   SuspectTask.CrashScore = 2;
+  SuspectTask.ConsecutiveCrashes = 3;
   SuspectTask.LastCrashedRun = 4;
   SuspectTask.IsCrashSuspect = true;
   const JobSnapshot Snapshot{
@@ -197,6 +198,7 @@
           TaskEnded{Task, 11, RunOutcome::WorkerCrashedOnStart, "c"},
           TaskEnded{Task, 12, RunOutcome::WorkerCrashedAlone, "c"},
           TaskEnded{Task, 13, RunOutcome::LostAfterStart, "c"},
+          TaskEnded{Task, 14, RunOutcome::WorkerCrashedUnconfirmed, "c"},
           CheckpointSaved{Task, 4, "d"},
           JobClosed{Job, JobState::Queued, WallTime(7s)},
           JobClosed{Job, JobState::Running, WallTime(7s)},
