control: A leader doesn't yield while the store is slow

An election takes five calls or more, one after another. While replies take over 100 ms, a leader now keeps its term, for at most 8 s: slower replies for longer point to its own processor or link, which is what yielding is for.

ALeaderDoesNotYieldWhileTheStoreIsSlow failed before. AWeakLeaderYieldsToAStrongerEntry holds.

--- a/Source/Control/JobController.cpp
+++ b/Source/Control/JobController.cpp
@@ -17,6 +17,11 @@
 /// Safety margin before the lease's expiry; covers the network delay of the
 /// store's reply.
 constexpr Duration LeaseMargin = std::chrono::milliseconds(100);
+/// An election takes five store calls or more, one after another. With replies
+/// slower than this it costs more than a stronger leader gains.
+constexpr Duration MaxReplyTimeToYield = std::chrono::milliseconds(100);
+/// Replies that are slow for longer point to this entry rather than the store.
+constexpr Duration MaxYieldDelay = std::chrono::seconds(8);
 
 } // namespace
 
@@ -120,9 +125,15 @@
 }
 
 void JobController::yieldLeadership() {
-  if (isElected()) {
-    stepDown("a stronger entry can lead");
+  if (!isElected()) {
+    return;
+  }
+  if (SlowRepliesSince && Time.now() - *SlowRepliesSince < MaxYieldDelay) {
+    Log.write(LogLevel::Info, "yield-delayed",
+              {{"token", Token}, {"why", "the store is slow"}});
+    return;
   }
+  stepDown("a stronger entry can lead");
 }
 
 void JobController::acquireLease() {
@@ -184,6 +195,8 @@
     LatestToken = Token;
     KnownLeader = Settings.Self;
     LastStoreContact = SentAt;
+    SlowRepliesSince.reset();
+    noteStoreReply(SentAt);
     FailedLoads = 0;
     ++TermNumber;
     Log.write(LogLevel::Info, "lead-taken", {{"token", Token}});
@@ -300,8 +313,18 @@
     LeaseExpiry =
         std::max(LeaseExpiry, SentAt + Settings.LeaseDuration - LeaseMargin);
     LastStoreContact = std::max(LastStoreContact, SentAt);
+    noteStoreReply(SentAt);
     JobJournal.retryUnanswered();
   }
 }
 
+void JobController::noteStoreReply(Instant SentAt) {
+  const Instant Now = Time.now();
+  if (Now - SentAt <= MaxReplyTimeToYield) {
+    SlowRepliesSince.reset();
+  } else if (!SlowRepliesSince) {
+    SlowRepliesSince = Now;
+  }
+}
+
 } // namespace balsamlatch::control
--- a/Source/Control/include/balsamlatch/Control/JobController.h
+++ b/Source/Control/include/balsamlatch/Control/JobController.h
@@ -74,7 +74,8 @@
   void mergeLeaderView(const LeaderView &View);
   /// Reads the election keys again, for when the known leader doesn't answer.
   void refreshLeader() { ElectionMirror.refresh(); }
-  /// Ends this term so that an entry with more processor time can lead.
+  /// Ends this term so that an entry with more processor time can lead, unless
+  /// the store is so slow that the election would take seconds.
   void yieldLeadership();
   const EntryRegistry &registry() const { return Registry; }
   bool isLeading() const { return State == Leading; }
@@ -115,6 +116,8 @@
   void stepDown(std::string_view Reason);
   void renewLease();
   void handleRenewal(Instant SentAt, const LeaseReply &Reply);
+  /// Notes that the store has answered a call that was sent then.
+  void noteStoreReply(Instant SentAt);
   void tick();
   void appendEvents();
   void handleAppended();
@@ -180,6 +183,8 @@
   std::uint64_t Token = 0;
   Instant LeaseExpiry{};
   Instant LastStoreContact{};
+  // When the store's replies became slow; unset while they are quick.
+  std::optional<Instant> SlowRepliesSince;
   Instant NextAppendAt{};
   Instant NextCompactionAt{};
   bool Ticking = false;
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -584,6 +584,21 @@
   BOOST_TEST(HasSteppedDown);
 }
 
+// A new leader yielded while the store was slow, and nothing was placed until
+// the next election had ended.
+BOOST_FIXTURE_TEST_CASE(ALeaderDoesNotYieldWhileTheStoreIsSlow,
+                        ElectionFixture) {
+  Store.CommitReplyDelay = 200ms;
+  auto FirstEntry = startEntry("one");
+  BOOST_TEST(runUntil([&] { return FirstEntry->isElected(); }));
+  FirstEntry->yieldLeadership();
+  BOOST_TEST(FirstEntry->isElected());
+  Store.CommitReplyDelay = 1ms;
+  runFor(600ms); // Renewals are answered quickly.
+  FirstEntry->yieldLeadership();
+  BOOST_TEST(!FirstEntry->isElected());
+}
+
 BOOST_FIXTURE_TEST_CASE(ALeaderWithoutTheStoreStepsDownForANewerView,
                         ElectionFixture) {
   const EntryRecord NextLeader{"two", "127.0.0.1", 2};
