--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -746,6 +746,7 @@
   const TaskRef Task{JobId("j"), 1, 2, 3};
   JobSnapshot Snapshot;
   Snapshot.Accepted = std::get<JobAccepted>(acceptedEvent("j"));
+  Snapshot.Accepted.Spec.RunSchedule.Repeats = 2;
   Snapshot.Occurrences[1] = {{{TaskPhase::Placed, 4, 1, 3, {"w", 5}, "c"}}};
   const std::vector<JobEvent> Events = {
       acceptedEvent("j"),
@@ -758,11 +759,13 @@
   const auto Decoded = decodeEvents(encodeEvents(Events));
   BOOST_REQUIRE(Decoded.ok());
   BOOST_TEST((*Decoded == Events));
+  Snapshot.Accepted.Spec.RunSchedule.Repeats = 0;
+  BOOST_TEST(!decodeEvents(encodeEvents({Snapshot})).ok());
   BOOST_TEST(!decodeEvents("[[\"a\"]]").ok());
   // Enumerators that don't exist, and a step that depends on itself.
   for (
       const char *InvalidEvents :
-      {R"([["z","j",9,0]])", R"([["e","j",0,0,0,1,9,""]])",
+      {R"([["z","j",9,0]])", R"([["e","j",0,0,0,1,99,""]])",
        R"([["a","j","q","p",0,["",[[1,0,0,0,0,[0],"","",0,0,0,"",0]],0,0,0]]])",
        R"([["a","j","q","p",0,["",[[1,0,0,0,0,[4294967295],"","",0,0,0,"",0]],)"
        R"(0,0,0]]])"}) {
