dispatch, control: A silent worker is looked up in the host list at once

What callers saw: after the crash of a worker its 15 to 20 tasks wait for up to 3.3 s before they run elsewhere.

Cause: a worker counts as gone once two host lists in a row don't have it, and while no host is being ordered the list is read every 2 s.

A worker that a list has shown and that goes silent with runs now calls for lists every 250 ms, four at most: a worker that these still show is out of reach, but not gone.

AnUnresponsiveWorkerNeedsHostListsAtOnce asks a function that didn't exist before, so it wasn't seen failing.

--- a/Source/Control/HostController.cpp
+++ b/Source/Control/HostController.cpp
@@ -16,6 +16,9 @@
 constexpr Duration TickPeriod = std::chrono::milliseconds(100);
 /// Interval of host lists while an order is open or a wave is under way.
 constexpr Duration BusyListPeriod = std::chrono::milliseconds(700);
+/// Interval of host lists while they may show that a worker is gone, whose
+/// tasks wait for that.
+constexpr Duration WorkerLossListPeriod = std::chrono::milliseconds(250);
 /// Interval of host lists otherwise.
 constexpr Duration IdleListPeriod = std::chrono::milliseconds(2000);
 /// Delay between the reply to an order and the list that shows its effect, so
@@ -221,7 +224,7 @@
   if (!IsLeading) {
     return;
   }
-  if (!ListInFlight && Time.now() >= NextListAt) {
+  if (!ListInFlight && Time.now() >= nextListTime()) {
     listHosts();
   }
   if (LocalController.holdsLease() && Config != nullptr) {
@@ -258,8 +261,15 @@
   });
 }
 
+Instant HostController::nextListTime() const {
+  return LocalController.dispatcher().needsHostList()
+             ? std::min(NextListAt, LastListAt + WorkerLossListPeriod)
+             : NextListAt;
+}
+
 void HostController::listHosts() {
   ListInFlight = true;
+  LastListAt = Time.now();
   Hosts.list([this, CallTerm = Term](
                  absl::StatusOr<std::vector<dispatch::HostRecord>> Reply) {
     if (CallTerm != Term) {
--- a/Source/Control/include/balsamlatch/Control/HostController.h
+++ b/Source/Control/include/balsamlatch/Control/HostController.h
@@ -41,6 +41,7 @@
 
 private:
   void tick();
+  Instant nextListTime() const;
   void listHosts();
   void scheduleList();
   /// Reads the values below the prefix, page by page from \p AfterKey on.
@@ -75,6 +76,8 @@
   bool ListInFlight = false;
   bool ListScheduled = false;
   Instant NextListAt{};
+  // When the last list was requested.
+  Instant LastListAt{};
   // When this or an earlier leader first saw each wave.
   std::map<std::uint64_t, WallTime> WaveFirstSeen;
   // Decided orders that haven't been recorded under OrdersKey yet.
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -220,6 +220,7 @@
   }
   Worker.Record.Instance.Incarnation = Incarnation;
   Worker.HasReported = false;
+  Worker.WasListed = false;
   Worker.OrphanedResources = {};
   Worker.LastSeenEnd = 0;
   Worker.LastEndInBatch = 0;
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -19,6 +19,8 @@
 /// Consecutive host lists without a worker after which the worker counts as
 /// ended. A single list may have been taken before the worker started.
 constexpr unsigned MinListsWithoutHost = 2;
+/// A worker that so many host lists still show is out of reach, but not gone.
+constexpr unsigned MaxListsWhileUnresponsive = 4;
 
 } // namespace
 
@@ -218,8 +220,10 @@
 
 void Dispatcher::setHostedWorkers(const std::set<std::string> &Ids) {
   for (auto &[Id, Worker] : Workers) {
+    Worker.ListsWhileUnresponsive += Worker.IsUnresponsive ? 1 : 0;
     if (Ids.contains(Id)) {
       Worker.ListsWithoutHost = 0;
+      Worker.WasListed = true;
     } else if ((Worker.IsUnresponsive || !Worker.HasReported) &&
                ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
       handleWorkerGone(Worker, std::numeric_limits<std::int64_t>::max(),
@@ -228,6 +232,16 @@
   }
 }
 
+bool Dispatcher::needsHostList() const {
+  return std::any_of(
+      Workers.begin(), Workers.end(), [](const auto &WorkerEntry) {
+        const WorkerState &Worker = WorkerEntry.second;
+        return Worker.IsUnresponsive && Worker.WasListed &&
+               Worker.HasReported && !Worker.Runs.empty() &&
+               Worker.ListsWhileUnresponsive < MaxListsWhileUnresponsive;
+      });
+}
+
 void Dispatcher::handleHostGone(const std::string &WorkerId) {
   const auto WorkerIt = Workers.find(WorkerId);
   if (Table == nullptr || WorkerIt == Workers.end()) {
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -79,6 +79,7 @@
     extendLeaseExpiry(Worker, Now);
   }
   Worker.IsUnresponsive = false;
+  Worker.ListsWhileUnresponsive = 0;
   Worker.HasReported = true;
   Worker.PossibleCrashes.clear(); // the worker was only out of reach
   Worker.Clock = Report.Clock;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -119,6 +119,9 @@
   /// Takes the workers on any host by the latest host list. A worker that can't
   /// be reached and is missing from two lists in a row counts as ended.
   void setHostedWorkers(const std::set<std::string> &Ids);
+  /// Whether a worker with runs has become unresponsive, so that the next host
+  /// lists show whether its runs are lost.
+  bool needsHostList() const;
   /// The host of the worker was moved or maintained, so all runs on the worker
   /// have ended.
   void handleHostGone(const std::string &WorkerId);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -111,6 +111,10 @@
   WorkerClock Clock{};
   /// Consecutive host lists without a host for this worker.
   unsigned ListsWithoutHost = 0;
+  /// Host lists since the worker became unresponsive.
+  unsigned ListsWhileUnresponsive = 0;
+  /// A host list has shown this incarnation of the worker.
+  bool WasListed = false;
   /// Local time when Clock was received.
   Instant ClockReceivedAt{};
   /// The time when all leases granted so far have expired.
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -294,6 +294,26 @@
   BOOST_TEST(Sim.countStarts("a") == 2);
 }
 
+// Tasks of a crashed worker waited for two host lists that were seconds apart.
+BOOST_AUTO_TEST_CASE(AnUnresponsiveWorkerNeedsHostListsAtOnce) {
+  Simulation Sim(2);
+  Sim.submit("a", longRunningJob(1));
+  Sim.run(500ms);
+  const std::set<std::string> AllWorkers = {"w0", "w1"};
+  Sim.JobDispatcher->setHostedWorkers(AllWorkers);
+  BOOST_TEST(!Sim.JobDispatcher->needsHostList());
+  const std::string FirstWorker = Sim.Observed.Runs.front().Worker;
+  (FirstWorker == "w0" ? Sim.Workers[0] : Sim.Workers[1]).IsDown = true;
+  Sim.run(1200ms);
+  BOOST_TEST(Sim.JobDispatcher->needsHostList());
+  // The host is up, so the worker is only out of reach.
+  for (unsigned List = 0; List < 4; ++List) {
+    Sim.JobDispatcher->setHostedWorkers(AllWorkers);
+  }
+  BOOST_TEST(!Sim.JobDispatcher->needsHostList());
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
+
 namespace {
 
 /// A simulation whose queue has a placement policy that permits only workers
