--- a/Tests/Jobs/JournalCodecTest.cpp
+++ b/Tests/Jobs/JournalCodecTest.cpp
@@ -39,7 +39,7 @@
     R"(["e","j",1,2,3,10,6,"c"],)"
     R"(["e","j",1,2,3,11,7,"c"],)"
     R"(["e","j",1,2,3,12,8,"c"],)"
-    R"(["e","j",1,2,3,13,9,"c"],)"
+    R"(["e","j",1,2,3,13,9,"c"],["e","j",1,2,3,14,10,"c"],)"
     R"(["c","j",1,2,3,4,"d"],)"
     R"(["z","j",0,7000000],)"
     R"(["z","j",1,7000000],)"
@@ -52,7 +52,7 @@
     R"([3,250,32,0,1500000,[0],"","",0,2,40000,"",62]],)"
     R"(3,5000000,2000000]],1,9000000,true,)"
     R"([[1,[[[1,4,1,3,"w",5,"c"],[2,2,0,0,"",0,""]],)"
-    R"([[0,0,0,0,"",0,""],[0,4,0,0,"",0,"",2,4,1]]]]]]])";
+    R"([[0,0,0,0,"",0,""],[0,4,0,0,"",0,"",2,4,1,3]]]]]]])";
 
 /// Written by encodeSpec() of an earlier version.
 constexpr std::string_view StoredSpec =
@@ -225,6 +225,17 @@
   BOOST_TEST(encodeEvents(expectedEvents()) == StoredEvents);
 }
 
+BOOST_AUTO_TEST_CASE(CrashScoresOfEarlierVersionsAreDecoded) {
+  std::string Stored(StoredEvents);
+  Stored.replace(Stored.find(R"(2,4,1,3])"), 8, R"(2,4,1])");
+  const auto Decoded = decodeEvents(Stored);
+  BOOST_REQUIRE(Decoded.ok());
+  const auto &Snapshot = std::get<JobSnapshot>(Decoded->back());
+  const TaskRecord &Suspect = Snapshot.Occurrences.at(1).at(1).at(1);
+  BOOST_TEST(Suspect.CrashScore == 2U);
+  BOOST_TEST(Suspect.ConsecutiveCrashes == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(StoredSpecIsDecoded) {
   const auto Decoded = decodeSpec(StoredSpec);
   BOOST_REQUIRE(Decoded.ok());
