dispatch: A start order without a reply is repeated

Cause, in part: a start without a reply is known after 400 ms, then stopped, and its task is placed again; a job has some ten tasks, so nearly every second one meets that. Workers start a run once however often they are told to, so the order is now repeated, first after four times the delay of recent replies (80 ms at least), three orders in all.

AStartWithoutAReplyIsRepeated and AStartThatIsCarriedOutLateIsRepeated failed before. ALateStartWhoseRepetitionWasRefusedDoesNotRunBeside holds before and after.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -19,6 +19,10 @@
 /// Consecutive host lists without a worker after which the worker counts as
 /// ended. A single list may have been taken before the worker started.
 constexpr unsigned MinListsWithoutHost = 2;
+/// A start order without a reply is repeated after this many times the delay of
+/// recent replies, and twice as long after each further one.
+constexpr int StartPatienceFactor = 4;
+constexpr Duration MinStartPatience = std::chrono::milliseconds(80);
 /// A worker that so many host lists still show is out of reach, but not gone.
 constexpr unsigned MaxListsWhileUnresponsive = 4;
 
@@ -157,10 +161,32 @@
 
 void Dispatcher::orderStart(WorkerState &Worker, const TaskRef &Task,
                             RunState &Run) {
+  const Instant Now = Time.now();
+  Run.Phase = RunPhase::Ordered;
+  Run.OrderedAt = Now;
+  Log.write(LogLevel::Info, "run-ordered",
+            {{"job", Task.Job.Text},
+             {"task", taskPath(Task)},
+             {"run", Run.Number},
+             {"worker", Worker.Record.Instance.Id},
+             {"used_cpu_milli", Worker.ClaimedResources.CpuMilli},
+             {"report_age_ms", toMilliseconds(Now - Worker.LastReportAt)}});
+  sendStart(Worker, Task, Run);
+}
+
+void Dispatcher::sendStart(WorkerState &Worker, const TaskRef &Task,
+                           RunState &Run) {
   const jobs::Job *Job = Table->find(Task.Job);
   const Instant Now = Time.now();
   StartOrder Order;
   Order.Worker = Worker.address();
+  // A worker starts a run once, however often it is told to.
+  Order.Worker.ReplyTimeout =
+      std::min(Order.Worker.ReplyTimeout,
+               std::max(MinStartPatience,
+                        Worker.RecentReplyDelay * StartPatienceFactor) *
+                   (1U << Run.StartAttempts));
+  ++Run.StartAttempts;
   Order.Token = Token;
   Order.Task = Task;
   Order.Run = Run.Number;
@@ -170,15 +196,6 @@
   Order.Checkpoint = Job->find(Task)->Checkpoint;
   Order.Ticket = Run.Ticket;
   extendLeaseExpiry(Worker, Now);
-  Run.Phase = RunPhase::Ordered;
-  Run.OrderedAt = Now;
-  Log.write(LogLevel::Info, "run-ordered",
-            {{"job", Task.Job.Text},
-             {"task", taskPath(Task)},
-             {"run", Run.Number},
-             {"worker", Worker.Record.Instance.Id},
-             {"used_cpu_milli", Worker.ClaimedResources.CpuMilli},
-             {"report_age_ms", toMilliseconds(Now - Worker.LastReportAt)}});
   Orders.emplace_back(std::move(Order));
 }
 
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -27,6 +27,7 @@
 /// Time without new work for a worker that refused a run for lack of resources,
 /// although the dispatcher counted enough free ones.
 constexpr Duration NoRoomDelay = std::chrono::milliseconds(100);
+constexpr unsigned MaxStartAttempts = 3;
 constexpr Duration UnhealthyDelay = std::chrono::milliseconds(500);
 /// Delay before a pace order that failed is repeated.
 constexpr Duration PaceRetryDelay = std::chrono::milliseconds(200);
@@ -100,9 +101,9 @@
 void Dispatcher::adjustReplyTimeout(WorkerState &Worker, Instant SentAt) const {
   const Duration Delay = Time.now() - SentAt - Worker.RenewalWait;
   Worker.UnansweredRenewals = 0;
-  Worker.ReplyTimeout = std::clamp(
-      std::max(Delay * ReplyTimeoutFactor, Worker.ReplyTimeout * 7 / 8),
-      MinReplyTimeout, MaxReplyTimeout);
+  Worker.RecentReplyDelay = std::max(Delay, Worker.RecentReplyDelay * 7 / 8);
+  Worker.ReplyTimeout = std::clamp(Worker.RecentReplyDelay * ReplyTimeoutFactor,
+                                   MinReplyTimeout, MaxReplyTimeout);
 }
 
 void Dispatcher::processEndedRuns(WorkerState &Worker,
@@ -314,8 +315,11 @@
         std::min(Worker.NextRenewalAt, Now + Settings.RenewalPeriod);
     return;
   case OrderOutcome::Unknown:
-    Run->Phase = RunPhase::Uncertain;
-    Worker.NextRenewalAt = std::min(Worker.NextRenewalAt, Now);
+    if (Run->StartAttempts < MaxStartAttempts && !Run->StopRequested) {
+      sendStart(Worker, Order.Task, *Run);
+    } else {
+      leaveStartUncertain(Worker, *Run);
+    }
     return;
   case OrderOutcome::InsufficientResources:
     Worker.AvoidUntil = Now + NoRoomDelay;
@@ -344,9 +348,18 @@
              {"worker", Order.Worker.WorkerId},
              {"run", Order.Run},
              {"outcome", static_cast<int>(Outcome)}});
+  if (Run->StartAttempts > 1) {
+    leaveStartUncertain(Worker, *Run);
+    return;
+  }
   proposeEnd(Worker, Order.Task, *Run, RunOutcome::Refused, {});
 }
 
+void Dispatcher::leaveStartUncertain(WorkerState &Worker, RunState &Run) {
+  Run.Phase = RunPhase::Uncertain;
+  Worker.NextRenewalAt = std::min(Worker.NextRenewalAt, Time.now());
+}
+
 void Dispatcher::adjustPace(WorkerState &Worker, Instant Now) {
   if (!Worker.hasBestEffortNextToServing()) {
     return;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -207,6 +207,10 @@
   void adjustPace(WorkerState &Worker, Instant Now);
   void orderRenewal(WorkerState &Worker, Instant Now, bool MayRenew);
   void orderStart(WorkerState &Worker, const TaskRef &Task, RunState &Run);
+  /// Sends a start order, also again if it got no reply.
+  void sendStart(WorkerState &Worker, const TaskRef &Task, RunState &Run);
+  /// It isn't known whether the worker has started the run or still will.
+  void leaveStartUncertain(WorkerState &Worker, RunState &Run);
   /// Raises LeasesExpireAt for leases that are granted at \p Now.
   void extendLeaseExpiry(WorkerState &Worker, Instant Now);
   void forgetClosedJobs();
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -49,6 +49,9 @@
   bool FromEarlierTerm = false;
   /// When the start was ordered; unset for a run of an earlier term.
   Instant OrderedAt{};
+  /// Start orders sent. An earlier one without a reply may still be carried
+  /// out when a later one is refused.
+  unsigned StartAttempts = 0;
   /// When the run was first known to be running.
   Instant StartedAt{};
   /// The worker has replied at least SettlingTime after the start.
@@ -104,6 +107,8 @@
   Duration RenewalWait{};
   /// Consecutive renewals without a reply.
   unsigned UnansweredRenewals = 0;
+  /// The longest delay of recent replies.
+  Duration RecentReplyDelay{};
   /// Time allowed for a reply, from the delays of recent replies.
   Duration ReplyTimeout = MinReplyTimeout;
   Instant NextRenewalAt{};
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -294,6 +294,72 @@
   BOOST_TEST(Sim.countStarts("a") == 2);
 }
 
+namespace {
+
+/// Whether the order is a start, counted in \p StartOrders, and the first one.
+bool isFirstStart(const WorkerOrder &Order, unsigned &StartOrders) {
+  return std::holds_alternative<StartOrder>(Order) && ++StartOrders == 1;
+}
+
+} // namespace
+
+// A run whose start got no reply was stopped, and its task was placed again.
+BOOST_AUTO_TEST_CASE(AStartWithoutAReplyIsRepeated) {
+  for (const Duration RunDuration : {1000ms, 20ms}) {
+    Simulation Sim(2);
+    for (FakeWorker &Worker : Sim.Workers) {
+      Worker.RunDuration = RunDuration;
+    }
+    unsigned StartOrders = 0;
+    Sim.LosesAnswer = [&](const WorkerOrder &Order) {
+      return isFirstStart(Order, StartOrders);
+    };
+    Sim.submit("a", simpleJob(1));
+    Sim.run(RunDuration + 300ms);
+    BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+    BOOST_TEST(Sim.countStarts("a") == 1);
+  }
+}
+
+// A task whose start was carried out late waited until it could be placed
+// again.
+BOOST_AUTO_TEST_CASE(AStartThatIsCarriedOutLateIsRepeated) {
+  Simulation Sim(2);
+  unsigned StartOrders = 0;
+  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+    return isFirstStart(Order, StartOrders) ? std::optional<Duration>(5s)
+                                            : std::nullopt;
+  };
+  Sim.submit("a", simpleJob(1));
+  Sim.run(700ms);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+  Sim.run(6s);
+  BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST(joinLines(Sim.violations()) == "");
+}
+
+// The first order is carried out after the repeated one was refused.
+BOOST_AUTO_TEST_CASE(ALateStartWhoseRepetitionWasRefusedDoesNotRunBeside) {
+  Simulation Sim(2);
+  unsigned StartOrders = 0;
+  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+    return isFirstStart(Order, StartOrders) ? std::optional<Duration>(2s)
+                                            : std::nullopt;
+  };
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.RequiredTicket = "refuses";
+  }
+  Sim.submit("a", simpleJob(1));
+  Sim.run(300ms);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.RequiredTicket.clear();
+  }
+  Sim.run(6s);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST(joinLines(Sim.violations()) == "");
+}
+
 // Tasks of a crashed worker waited for two host lists that were seconds apart.
 BOOST_AUTO_TEST_CASE(AnUnresponsiveWorkerNeedsHostListsAtOnce) {
   Simulation Sim(2);
