dispatch: A renewal without a reply is repeated at once

Cause: a renewal is a long poll.

The first two renewals without a reply are now repeated at once, and for these the time allowed is four times the delay of recent replies (80 ms at least). A worker whose second repetition is unanswered too is treated as before.

ARenewalWithoutAReplyIsRepeatedAtOnce failed before.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -19,10 +19,6 @@
 /// Consecutive host lists without a worker after which the worker counts as
 /// ended. A single list may have been taken before the worker started.
 constexpr unsigned MinListsWithoutHost = 2;
-/// A start order without a reply is repeated after this many times the delay of
-/// recent replies, and twice as long after each further one.
-constexpr int StartPatienceFactor = 4;
-constexpr Duration MinStartPatience = std::chrono::milliseconds(80);
 /// A worker that so many host lists still show is out of reach, but not gone.
 constexpr unsigned MaxListsWhileUnresponsive = 4;
 
@@ -128,6 +124,9 @@
   }
   RenewOrder Order;
   Order.Worker = Worker.address();
+  if (Worker.HasReported && Worker.UnansweredRenewals < MaxQuickRenewals) {
+    Order.Worker.ReplyTimeout = Worker.patience();
+  }
   Order.Token = Token;
   Order.LastRecordedEnd = Worker.LastRecordedEnd;
   // The worker reports ends that aren't recorded yet again at once, so a long
@@ -181,11 +180,8 @@
   StartOrder Order;
   Order.Worker = Worker.address();
   // A worker starts a run once, however often it is told to.
-  Order.Worker.ReplyTimeout =
-      std::min(Order.Worker.ReplyTimeout,
-               std::max(MinStartPatience,
-                        Worker.RecentReplyDelay * StartPatienceFactor) *
-                   (1U << Run.StartAttempts));
+  Order.Worker.ReplyTimeout = std::min<Duration>(
+      Order.Worker.ReplyTimeout, Worker.patience() * (1U << Run.StartAttempts));
   ++Run.StartAttempts;
   Order.Token = Token;
   Order.Task = Task;
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -60,7 +60,11 @@
     }
     Worker.IsUnresponsive = true;
     ++Worker.UnansweredRenewals;
-    Worker.NextRenewalAt = Now + UnresponsiveRenewalPeriod;
+    // A single reply may be lost although the worker is up.
+    Worker.NextRenewalAt =
+        Worker.HasReported && Worker.UnansweredRenewals <= MaxQuickRenewals
+            ? Now
+            : Now + UnresponsiveRenewalPeriod;
     return;
   }
   adjustReplyTimeout(Worker, SentAt);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -8,6 +8,7 @@
 #include "balsamlatch/Dispatch/Orders.h"
 #include "balsamlatch/Dispatch/Pacing.h"
 
+#include <algorithm>
 #include <map>
 #include <unordered_map>
 
@@ -30,6 +31,13 @@
 /// worker by its start.
 inline constexpr Duration SettlingTime = std::chrono::milliseconds(100);
 
+/// An order that may be repeated is, after this many times the delay of recent
+/// replies.
+inline constexpr int PatienceFactor = 4;
+inline constexpr Duration MinPatience = std::chrono::milliseconds(80);
+/// Renewals in a row that are repeated with no more than that patience.
+inline constexpr unsigned MaxQuickRenewals = 2;
+
 /// A run on a worker as the lease holder tracks it.
 struct RunState {
   std::uint32_t Number = 0;
@@ -170,6 +178,12 @@
   /// Whether best-effort tasks share the worker with serving tasks, so that the
   /// tails of the serving tasks control the pace of the best-effort tasks.
   bool hasBestEffortNextToServing() const;
+  /// Time after which an order that may safely be repeated is, from the delays
+  /// of recent replies.
+  Duration patience() const {
+    return std::clamp(RecentReplyDelay * PatienceFactor, MinPatience,
+                      ReplyTimeout);
+  }
   /// The address for the next order, with the time allowed for its reply.
   WorkerAddress address() const {
     WorkerAddress Address = Record.Address;
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -360,6 +360,18 @@
   BOOST_TEST(joinLines(Sim.violations()) == "");
 }
 
+// A worker that a lost reply made look unresponsive got no work for 0.65 s.
+BOOST_AUTO_TEST_CASE(ARenewalWithoutAReplyIsRepeatedAtOnce) {
+  Simulation Sim(1);
+  unsigned Renewals = 0;
+  Sim.LosesAnswer = [&](const WorkerOrder &Order) {
+    return std::holds_alternative<RenewOrder>(Order) && ++Renewals % 3 == 0;
+  };
+  Sim.submit("a", simpleJob(1, 3));
+  Sim.run(2s);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
+
 // Tasks of a crashed worker waited for two host lists that were seconds apart.
 BOOST_AUTO_TEST_CASE(AnUnresponsiveWorkerNeedsHostListsAtOnce) {
   Simulation Sim(2);
