platform: Only changed registrations of workers are decoded

WorkerRegistrations decodes an item when its revision has changed, and a batch that changes no worker isn't handed on.

--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -5,6 +5,7 @@
 #define BOOST_TEST_MODULE PlatformAdapter
 #include "Codec.h"
 #include "Settings.h"
+#include "WorkerRegistrations.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -89,6 +90,41 @@
   }
 }
 
+// All registrations were decoded whenever one of them had changed.
+BOOST_AUTO_TEST_CASE(OnlyChangedRegistrationsCount) {
+  const auto MakeItem = [](std::uint64_t Revision, std::string_view State) {
+    return control::StoredItem{
+        "servers/w",
+        std::string(R"({"service":"p","address":"10.0.0.1:80","state":")")
+            .append(State)
+            .append(R"(","capacity":{"cpu":1},"born":5})"),
+        Revision};
+  };
+  NullLog Log;
+  WorkerRegistrations Registrations(Log, "servers/");
+  BOOST_TEST(Registrations.update({})); // The first listing counts.
+  BOOST_TEST(!Registrations.update({}));
+  control::PrefixMirror::Items Items{{"servers/w", MakeItem(1, "ready")}};
+  BOOST_TEST(Registrations.update(Items));
+  BOOST_TEST(Registrations.records().at("w").Address.Port == 80);
+  Items["servers/w"] = MakeItem(1, "draining"); // Not read, as not newer.
+  BOOST_TEST(!Registrations.update(Items));
+  Items["servers/w"] = MakeItem(2, "ready");
+  BOOST_TEST(!Registrations.update(Items));
+  Items["servers/w"] = MakeItem(3, "draining");
+  BOOST_TEST(Registrations.update(Items));
+  BOOST_TEST(Registrations.records().at("w").Draining);
+  Items["servers/w"] = MakeItem(4, "unknown");
+  BOOST_TEST(Registrations.update(Items));
+  BOOST_TEST(Registrations.records().empty());
+  Items["servers/w"] = MakeItem(5, "ready");
+  BOOST_TEST(Registrations.update(Items));
+  BOOST_TEST(Registrations.update({}));
+  BOOST_TEST(Registrations.records().empty());
+  Registrations.clear();
+  BOOST_TEST(Registrations.update({}));
+}
+
 BOOST_AUTO_TEST_CASE(LongestMatchingPrefixSelectsTheQueue) {
   const auto Config = decodeConfig(
       R"({"version":7,"routes":[)"
