dispatch: Long polls are shorter while replies get lost

Cause: an end that a worker reports in a reply that is lost is known only after the rest of the long poll, up to 1 s. For 3 s after a reply was lost (a renewal without a reply, and the next one answered) a long poll now takes 0.4 s at most.

Tried first: 0.4 s always.

LongPollsAreShorterWhileRepliesGetLost failed before: its constant is new, 1 s was sent.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -102,6 +102,7 @@
   QueriesInFlight.clear();
   NextQueryAt = {};
   BatchInFlight = false;
+  LastLostReplyAt = {};
   Events.clear();
   Orders.clear();
 }
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -19,6 +19,8 @@
 /// Consecutive host lists without a worker after which the worker counts as
 /// ended. A single list may have been taken before the worker started.
 constexpr unsigned MinListsWithoutHost = 2;
+/// Replies count as getting lost for this long after a lost one.
+constexpr Duration LossyTime = std::chrono::seconds(3);
 /// A worker that so many host lists still show is out of reach, but not gone.
 constexpr unsigned MaxListsWhileUnresponsive = 4;
 
@@ -138,11 +140,13 @@
         Worker.Runs.begin(), Worker.Runs.end(), [](const auto &Run) {
           return Run.second.LongRunning && Run.second.Percent == 0;
         });
-    Order.Wait = !mayShareWorker(false, Worker) ? SettlingTime
-                 : HasStartingRun               ? Settings.StartingRenewalWait
-                 : Worker.hasBestEffortNextToServing()
-                     ? Settings.SharedRenewalWait
-                     : Settings.RenewalWait;
+    Order.Wait =
+        !mayShareWorker(false, Worker)        ? SettlingTime
+        : HasStartingRun                      ? Settings.StartingRenewalWait
+        : Worker.hasBestEffortNextToServing() ? Settings.SharedRenewalWait
+        : LastLostReplyAt != Instant() && Now - LastLostReplyAt < LossyTime
+            ? Settings.LossyRenewalWait
+            : Settings.RenewalWait;
   }
   // Leases of an unresponsive worker are not renewed; otherwise its runs could
   // never be declared lost.
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -102,8 +102,11 @@
   }
 }
 
-void Dispatcher::adjustReplyTimeout(WorkerState &Worker, Instant SentAt) const {
+void Dispatcher::adjustReplyTimeout(WorkerState &Worker, Instant SentAt) {
   const Duration Delay = Time.now() - SentAt - Worker.RenewalWait;
+  if (Worker.UnansweredRenewals > 0) {
+    LastLostReplyAt = Time.now();
+  }
   Worker.UnansweredRenewals = 0;
   Worker.RecentReplyDelay = std::max(Delay, Worker.RecentReplyDelay * 7 / 8);
   Worker.ReplyTimeout = std::clamp(Worker.RecentReplyDelay * ReplyTimeoutFactor,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -44,6 +44,9 @@
   /// since the tail latencies in the replies control the pace of the
   /// best-effort tasks.
   Duration SharedRenewalWait = std::chrono::milliseconds(400);
+  /// Long-poll time while replies of workers get lost, since ends are not known
+  /// until the next reply.
+  Duration LossyRenewalWait = std::chrono::milliseconds(400);
   /// Time between renewals for a worker without runs.
   Duration IdleRenewalPeriod = std::chrono::milliseconds(2000);
   /// Time from a reply to the next renewal for a worker with runs, so that ends
@@ -183,7 +186,7 @@
   /// lost.
   void setWorkerInstance(WorkerState &Worker, std::int64_t Incarnation);
   /// Learns from a reply how long to wait for the next ones.
-  void adjustReplyTimeout(WorkerState &Worker, Instant SentAt) const;
+  void adjustReplyTimeout(WorkerState &Worker, Instant SentAt);
   void processEndedRuns(WorkerState &Worker, const RenewReport &Report);
   /// Handles the end of a run that is no longer tracked, such as one that was
   /// declared lost.
@@ -278,6 +281,8 @@
   // The worker on which the last run of a task failed or stalled, so that the
   // next run prefers another one.
   std::map<TaskRef, std::string> LastFailedWorker;
+  // When a worker last replied whose renewal before had got no reply.
+  Instant LastLostReplyAt{};
   CrashIsolation Isolation;
   // How often the runs of a task have stalled.
   std::map<TaskRef, unsigned> StallCounts;
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -372,6 +372,33 @@
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
 }
 
+// An end whose reply was lost was seen only after a whole long poll.
+BOOST_AUTO_TEST_CASE(LongPollsAreShorterWhileRepliesGetLost) {
+  Simulation Sim(1);
+  Duration LongestWait{};
+  bool LosesReplies = false;
+  unsigned Renewals = 0;
+  Sim.LosesAnswer = [&](const WorkerOrder &Order) {
+    const auto *Renew = std::get_if<RenewOrder>(&Order);
+    if (Renew == nullptr) {
+      return false;
+    }
+    LongestWait = std::max(LongestWait, Renew->Wait);
+    return LosesReplies && ++Renewals % 4 == 0;
+  };
+  Sim.submit("a", longRunningJob(1));
+  Sim.run(1s);
+  BOOST_TEST((LongestWait == 1000ms));
+  LosesReplies = true;
+  Sim.run(1s);
+  LongestWait = {};
+  Sim.run(2s);
+  BOOST_TEST((LongestWait == 400ms));
+  LosesReplies = false;
+  Sim.run(5s);
+  BOOST_TEST((LongestWait == 1000ms));
+}
+
 // Tasks of a crashed worker waited for two host lists that were seconds apart.
 BOOST_AUTO_TEST_CASE(AnUnresponsiveWorkerNeedsHostListsAtOnce) {
   Simulation Sim(2);
