control: Searches for a leader that is only slow get fewer

The class is that of the deadly task: a retry without a budget that adds load where load is the cause.

The time between searches now doubles up to 600 ms while they find the same leader; a change of the leader or 2 s without a search sets it back.

SearchesForASlowLeaderGetFewer fails with the doubling taken out (14 lists in 2 s).

--- a/Source/Control/LeaderFinder.cpp
+++ b/Source/Control/LeaderFinder.cpp
@@ -12,8 +12,12 @@
 
 namespace {
 
-/// Minimum time between two searches for the leader.
+/// Time between two searches for the leader. It doubles while they find the
+/// same one: a leader that is only slow isn't helped by searches of all others.
 constexpr Duration MinSearchInterval = std::chrono::milliseconds(150);
+constexpr Duration MaxSearchInterval = std::chrono::milliseconds(600);
+/// After this time without a search the next ones are frequent again.
+constexpr Duration SearchPause = std::chrono::seconds(2);
 constexpr Duration OfferPeriod = std::chrono::milliseconds(2000);
 constexpr Duration QueryTimeout = std::chrono::milliseconds(300);
 
@@ -66,10 +70,17 @@
 }
 
 void LeaderFinder::findLeader() {
-  if (Time.now() < NextSearchAt) {
+  const Instant Now = Time.now();
+  if (Now < NextSearchAt) {
     return;
   }
-  NextSearchAt = Time.now() + MinSearchInterval;
+  const std::uint64_t Token = LocalController.leaderView().Token;
+  const bool IsRepeated =
+      Token == LastSearchToken && Now - NextSearchAt < SearchPause;
+  LastSearchToken = Token;
+  SearchInterval = IsRepeated ? std::min(SearchInterval * 2, MaxSearchInterval)
+                              : MinSearchInterval;
+  NextSearchAt = Now + SearchInterval;
   LocalController.refreshLeader();
   const std::vector<EntryRecord> &OtherEntries =
       LocalController.registry().otherEntries();
--- a/Source/Control/include/balsamlatch/Control/LeaderFinder.h
+++ b/Source/Control/include/balsamlatch/Control/LeaderFinder.h
@@ -39,6 +39,9 @@
   JobController &LocalController;
   http::Client &PeerClient;
   Instant NextSearchAt{};
+  Duration SearchInterval{};
+  // Fencing token of the leader that was known at the last search.
+  std::optional<std::uint64_t> LastSearchToken;
   // Index of the entry that was queried last, for a round robin. Taken modulo
   // the number of entries.
   std::size_t LastQueriedIndex = 0;
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -584,6 +584,24 @@
   BOOST_TEST(HasSteppedDown);
 }
 
+// All entries listed the election keys seven times a second while the leader
+// was slow.
+BOOST_FIXTURE_TEST_CASE(SearchesForASlowLeaderGetFewer, ElectionFixture) {
+  Store.put("lead/jobs", encodeEntry({"slow", "127.0.0.1", 1, 500}));
+  auto Follower = startEntry("one");
+  BOOST_TEST(runUntil([&] { return Follower->knownLeader().has_value(); }));
+  http::Client PeerClient(Loop.context(), {});
+  LeaderFinder Finder(Loop, Time, *Follower, PeerClient);
+  const unsigned ListsBefore = Store.Lists;
+  const Instant End = Time.now() + 2s;
+  while (Time.now() < End) {
+    Finder.findLeader();
+    runFor(5ms);
+  }
+  BOOST_TEST(Store.Lists - ListsBefore >= 3U);
+  BOOST_TEST(Store.Lists - ListsBefore <= 6U);
+}
+
 // A new leader yielded while the store was slow, and nothing was placed until
 // the next election had ended.
 BOOST_FIXTURE_TEST_CASE(ALeaderDoesNotYieldWhileTheStoreIsSlow,
--- a/Tests/Control/FakeStore.cpp
+++ b/Tests/Control/FakeStore.cpp
@@ -20,6 +20,7 @@
 
 void FakeStore::list(const std::string &Prefix, const std::string &AfterKey,
                      std::function<void(PageReply)> Callback) {
+  ++Lists;
   PageReply Reply;
   Reply.Status = IsUnavailable ? unavailableError() : absl::OkStatus();
   Reply.Revision = Revision;
--- a/Tests/Control/FakeStore.h
+++ b/Tests/Control/FakeStore.h
@@ -39,6 +39,7 @@
   unsigned RepliesToLose = 0;
   /// Number of coming writes that time out and are applied after a later write.
   unsigned WritesToDelay = 0;
+  unsigned Lists = 0;
   /// Number of coming lists of journal records that fail.
   unsigned JournalListsToFail = 0;
   /// Number of coming lease renewals that get no reply.
