dispatch: Passes over all workers are bounded by their number

Planning is not bound by it.

No test: it is a matter of processor time; the tests of stops, renewals and histories hold.

The next parts of the profile: two more passes with each append (handleRecorded, takeEvents), the host scheduler's search of all hosts in each tick.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr Duration PlanPeriod = std::chrono::milliseconds(8);
+/// Bounds the share of processor time that goes into passes over all workers,
+/// at 20 ms for 1,000 workers.
+constexpr Duration SweepPeriodPerWorker = std::chrono::microseconds(20);
 constexpr Duration ForgetPeriod = std::chrono::seconds(1);
 /// Consecutive host lists without a worker after which the worker counts as
 /// ended. A single list may have been taken before the worker started.
@@ -31,15 +34,9 @@
     return;
   }
   const Instant Now = Time.now();
-  expireLeases(Now);
-  for (auto &[Id, Worker] : Workers) {
-    if (!BatchInFlight && Events.empty()) {
-      // Nothing is left to record, so all ends seen so far count as recorded.
-      advanceRecordedEnds(Worker, Worker.LastSeenEnd);
-    }
-    orderStops(Worker);
-    orderPaces(Worker, Now);
-    orderRenewal(Worker, Now, MayRenew);
+  if (Now >= NextSweepAt) {
+    NextSweepAt = Now + SweepPeriodPerWorker * Workers.size();
+    sweepWorkers(Now, MayRenew);
   }
   if (MayPlace && PlanNeeded && Now >= NextPlanAt) {
     NextPlanAt = Now + PlanPeriod;
@@ -53,6 +50,19 @@
   }
 }
 
+void Dispatcher::sweepWorkers(Instant Now, bool MayRenew) {
+  expireLeases(Now);
+  for (auto &[Id, Worker] : Workers) {
+    if (!BatchInFlight && Events.empty()) {
+      // Nothing is left to record, so all ends seen so far count as recorded.
+      advanceRecordedEnds(Worker, Worker.LastSeenEnd);
+    }
+    orderStops(Worker);
+    orderPaces(Worker, Now);
+    orderRenewal(Worker, Now, MayRenew);
+  }
+}
+
 void Dispatcher::forgetClosedJobs() {
   const WallTime RetainedSince = Time.wallNow() - Settings.StatusRetention;
   for (const auto &[Id, Job] : Table->jobs()) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -204,6 +204,8 @@
   /// settled.
   void settleRuns(WorkerState &Worker);
 
+  /// Sends the orders that are due to each worker.
+  void sweepWorkers(Instant Now, bool MayRenew);
   void expireLeases(Instant Now);
   void orderStops(WorkerState &Worker);
   void orderPaces(WorkerState &Worker, Instant Now);
@@ -267,6 +269,7 @@
   Instant TermStart{};
   bool Fenced = false;
   bool PlanNeeded = false;
+  Instant NextSweepAt{};
   Instant NextPlanAt{};
   Instant NextForgetAt{};
   WorkerTable Workers;
