dispatch, control: Less work for all workers with each record

Cause of a part: each record passes over all workers twice, to note which ends it holds; the host scheduler decides over all hosts every 100 ms. Now only workers with unrecorded ends are visited, and decisions about hosts are 0.2 ms for each host apart, 0.1 s at least.

--- a/Source/Control/HostController.cpp
+++ b/Source/Control/HostController.cpp
@@ -13,7 +13,9 @@
 
 namespace {
 
-constexpr Duration TickPeriod = std::chrono::milliseconds(100);
+constexpr Duration MinTickPeriod = std::chrono::milliseconds(100);
+/// Bounds the share of processor time that goes into decisions over all hosts.
+constexpr Duration TickPeriodPerHost = std::chrono::microseconds(200);
 /// Interval of host lists while an order is open or a wave is under way.
 constexpr Duration BusyListPeriod = std::chrono::milliseconds(700);
 /// Interval of host lists while they may show that a worker is gone, whose
@@ -239,6 +241,8 @@
     }
   }
   recordOrders();
+  const Duration TickPeriod = std::max<Duration>(
+      MinTickPeriod, TickPeriodPerHost * Scheduler.hostCount());
   Loop.after(TickPeriod, [this, CallTerm = Term] {
     if (CallTerm == Term) {
       tick();
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -95,6 +95,7 @@
   StallCounts.clear();
   Isolation.clear();
   WorkerOfEndingRun.clear();
+  WorkersWithUnrecordedEnds.clear();
   UnplacedSince.clear();
   RequiredHosts.clear();
   Permits.clear();
@@ -236,9 +237,15 @@
     return;
   }
   BatchInFlight = false;
-  for (auto &[Id, Worker] : Workers) {
+  std::erase_if(WorkersWithUnrecordedEnds, [this](const std::string &Id) {
+    const auto WorkerIt = Workers.find(Id);
+    if (WorkerIt == Workers.end()) {
+      return true;
+    }
+    WorkerState &Worker = WorkerIt->second;
     advanceRecordedEnds(Worker, Worker.LastEndInBatch);
-  }
+    return Worker.LastRecordedEnd == Worker.LastSeenEnd;
+  });
   for (const JobEvent &Event : RecordedEvents) {
     std::visit(
         [this](const auto &RecordedEvent) { applyRecorded(RecordedEvent); },
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -211,8 +211,10 @@
 
 std::vector<JobEvent> Dispatcher::takeEvents() {
   BatchInFlight = BatchInFlight || !Events.empty();
-  for (auto &[Id, Worker] : Workers) {
-    Worker.LastEndInBatch = Worker.LastSeenEnd;
+  for (const std::string &Id : WorkersWithUnrecordedEnds) {
+    if (const auto It = Workers.find(Id); It != Workers.end()) {
+      It->second.LastEndInBatch = It->second.LastSeenEnd;
+    }
   }
   return std::exchange(Events, {});
 }
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -120,6 +120,7 @@
       continue;
     }
     Worker.LastSeenEnd = EndedRun.Number;
+    WorkersWithUnrecordedEnds.insert(Worker.Record.Instance.Id);
     PlanNeeded = true;
     const auto RunIt = Worker.Runs.find(EndedRun.Task);
     if (RunIt == Worker.Runs.end() || RunIt->second.Number != EndedRun.Run) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -284,6 +284,9 @@
   // The worker on which the last run of a task failed or stalled, so that the
   // next run prefers another one.
   std::map<TaskRef, std::string> LastFailedWorker;
+  // Invariant: holds the IDs of all workers whose LastRecordedEnd is lower than
+  // their LastSeenEnd.
+  std::set<std::string> WorkersWithUnrecordedEnds;
   // When a worker last replied whose renewal before had got no reply.
   Instant LastLostReplyAt{};
   CrashIsolation Isolation;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -72,6 +72,8 @@
   /// Whether a wave, an order or a move is in progress, so that the host list
   /// is needed often.
   bool hasOpenWork() const;
+  /// Hosts on the latest list.
+  std::size_t hostCount() const { return Hosts.size(); }
 
   /// Returns the orders and completed waves that are due now.
   std::vector<HostDecision> decide(Dispatcher &JobDispatcher,
