--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -24,10 +24,11 @@
 constexpr int StalledPartOfEstimate = 10;
 constexpr int StalledPercentTimes = 4;
 constexpr unsigned MaxStallDoublings = 10;
+/// Start orders that are sent for one run while none is answered.
+constexpr unsigned MaxStartAttempts = 3;
 /// Time without new work for a worker that refused a run for lack of resources,
 /// although the dispatcher counted enough free ones.
 constexpr Duration NoRoomDelay = std::chrono::milliseconds(100);
-constexpr unsigned MaxStartAttempts = 3;
 constexpr Duration UnhealthyDelay = std::chrono::milliseconds(500);
 /// Delay before a pace order that failed is repeated.
 constexpr Duration PaceRetryDelay = std::chrono::milliseconds(200);
