--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -34,8 +34,6 @@
 constexpr Duration PaceRetryDelay = std::chrono::milliseconds(200);
 /// Delay before the next permit query after one without a reply.
 constexpr Duration QueryRetryDelay = std::chrono::milliseconds(100);
-/// The time allowed for a reply is this many times the delay of the last one.
-constexpr int ReplyTimeoutFactor = 2;
 /// Delay before the next renewal after one without a reply.
 constexpr Duration UnresponsiveRenewalPeriod = std::chrono::milliseconds(250);
 /// Time between renewals while reported ends are not recorded yet.
@@ -68,7 +66,7 @@
             : Now + UnresponsiveRenewalPeriod;
     return;
   }
-  adjustReplyTimeout(Worker, SentAt);
+  noteReplyDelay(Worker, SentAt);
   if (Report.Incarnation != 0 &&
       Report.Incarnation < Worker.Record.Instance.Incarnation) {
     Worker.NextRenewalAt = Now; // the reply is from an earlier incarnation
@@ -103,15 +101,13 @@
   }
 }
 
-void Dispatcher::adjustReplyTimeout(WorkerState &Worker, Instant SentAt) {
+void Dispatcher::noteReplyDelay(WorkerState &Worker, Instant SentAt) {
   const Duration Delay = Time.now() - SentAt - Worker.RenewalWait;
   if (Worker.UnansweredRenewals > 0) {
     LastLostReplyAt = Time.now();
   }
   Worker.UnansweredRenewals = 0;
   Worker.RecentReplyDelay = std::max(Delay, Worker.RecentReplyDelay * 7 / 8);
-  Worker.ReplyTimeout = std::clamp(Worker.RecentReplyDelay * ReplyTimeoutFactor,
-                                   MinReplyTimeout, MaxReplyTimeout);
 }
 
 void Dispatcher::processEndedRuns(WorkerState &Worker,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -186,7 +186,7 @@
   /// lost.
   void setWorkerInstance(WorkerState &Worker, std::int64_t Incarnation);
   /// Learns from a reply how long to wait for the next ones.
-  void adjustReplyTimeout(WorkerState &Worker, Instant SentAt);
+  void noteReplyDelay(WorkerState &Worker, Instant SentAt);
   void processEndedRuns(WorkerState &Worker, const RenewReport &Report);
   /// Handles the end of a run that is no longer tracked, such as one that was
   /// declared lost.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -34,6 +34,8 @@
 /// An order that may be repeated is, after this many times the delay of recent
 /// replies.
 inline constexpr int PatienceFactor = 4;
+/// Any order counts as unanswered after this many times that delay.
+inline constexpr int ReplyTimeoutFactor = 2;
 inline constexpr Duration MinPatience = std::chrono::milliseconds(80);
 /// Renewals in a row that are repeated with no more than that patience.
 inline constexpr unsigned MaxQuickRenewals = 2;
@@ -117,8 +119,6 @@
   unsigned UnansweredRenewals = 0;
   /// The longest delay of recent replies.
   Duration RecentReplyDelay{};
-  /// Time allowed for a reply, from the delays of recent replies.
-  Duration ReplyTimeout = MinReplyTimeout;
   Instant NextRenewalAt{};
   Instant LastReportAt{};
   WorkerClock Clock{};
@@ -178,11 +178,16 @@
   /// Whether best-effort tasks share the worker with serving tasks, so that the
   /// tails of the serving tasks control the pace of the best-effort tasks.
   bool hasBestEffortNextToServing() const;
+  /// Time allowed for a reply, from the delays of recent replies.
+  Duration replyTimeout() const {
+    return std::clamp(RecentReplyDelay * ReplyTimeoutFactor, MinReplyTimeout,
+                      MaxReplyTimeout);
+  }
   /// Time after which an order that may safely be repeated is, from the delays
   /// of recent replies.
   Duration patience() const {
     return std::clamp(RecentReplyDelay * PatienceFactor, MinPatience,
-                      ReplyTimeout);
+                      replyTimeout());
   }
   /// The address for the next order, with the time allowed for its reply.
   WorkerAddress address() const {
@@ -190,7 +195,7 @@
     // A worker that is silent may be slow: every second retry waits longer.
     Address.ReplyTimeout = UnansweredRenewals > 0 && UnansweredRenewals % 2 == 0
                                ? MaxReplyTimeout
-                               : ReplyTimeout;
+                               : replyTimeout();
     return Address;
   }
   /// Whether new work may be placed on the worker.
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -301,6 +301,13 @@
   return std::holds_alternative<StartOrder>(Order) && ++StartOrders == 1;
 }
 
+void delayFirstStart(Simulation &Sim, Duration Delay) {
+  Sim.OrderDelay = [Delay, StartOrders = 0U](const WorkerOrder &Order) mutable {
+    return isFirstStart(Order, StartOrders) ? std::optional(Delay)
+                                            : std::nullopt;
+  };
+}
+
 } // namespace
 
 // A run whose start got no reply was stopped, and its task was placed again.
@@ -325,11 +332,7 @@
 // again.
 BOOST_AUTO_TEST_CASE(AStartThatIsCarriedOutLateIsRepeated) {
   Simulation Sim(2);
-  unsigned StartOrders = 0;
-  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
-    return isFirstStart(Order, StartOrders) ? std::optional<Duration>(5s)
-                                            : std::nullopt;
-  };
+  delayFirstStart(Sim, 5s);
   Sim.submit("a", simpleJob(1));
   Sim.run(700ms);
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
@@ -341,11 +344,7 @@
 // The first order is carried out after the repeated one was refused.
 BOOST_AUTO_TEST_CASE(ALateStartWhoseRepetitionWasRefusedDoesNotRunBeside) {
   Simulation Sim(2);
-  unsigned StartOrders = 0;
-  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
-    return isFirstStart(Order, StartOrders) ? std::optional<Duration>(2s)
-                                            : std::nullopt;
-  };
+  delayFirstStart(Sim, 2s);
   for (FakeWorker &Worker : Sim.Workers) {
     Worker.RequiredTicket = "refuses";
   }
