--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -30,6 +30,12 @@
   return Spec;
 }
 
+/// The worker, of the two in the simulation, that had the first run.
+FakeWorker &workerOfFirstRun(Simulation &Sim) {
+  return Sim.Observed.Runs.front().Worker == "w0" ? Sim.Workers[0]
+                                                  : Sim.Workers[1];
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(RunsStepsInOrderOnce) {
@@ -60,8 +66,7 @@
   Simulation Sim(2);
   Sim.submit("a", longRunningJob(1));
   Sim.run(500ms);
-  const std::string FirstWorker = Sim.Observed.Runs.front().Worker;
-  FakeWorker &Worker = FirstWorker == "w0" ? Sim.Workers[0] : Sim.Workers[1];
+  FakeWorker &Worker = workerOfFirstRun(Sim);
   Worker.IsDown = true; // its runs continue, but it is unreachable
   Sim.run(7s);
   BOOST_TEST(Sim.countStarts("a") == 2);
@@ -150,8 +155,7 @@
   Simulation Sim(2);
   Sim.submit("a", longRunningJob(1));
   Sim.run(500ms);
-  const std::string FirstWorker = Sim.Observed.Runs.front().Worker;
-  (FirstWorker == "w0" ? Sim.Workers[0] : Sim.Workers[1]).IsDown = true;
+  workerOfFirstRun(Sim).IsDown = true;
   Sim.startNewTerm();
   Sim.run(8s);
   BOOST_TEST(Sim.countStarts("a") == 1);
@@ -199,8 +203,7 @@
   Sim.Workers[0].Hangs = Sim.Workers[1].Hangs = false;
   Sim.submit("a", simpleJob(1));
   Sim.run(50ms);
-  const std::string FirstWorker = Sim.Observed.Runs.front().Worker;
-  (FirstWorker == "w0" ? Sim.Workers[0] : Sim.Workers[1]).Hangs = true;
+  workerOfFirstRun(Sim).Hangs = true;
   Sim.run(6s);
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
   BOOST_TEST(joinLines(Sim.violations()) == "");
@@ -264,8 +267,7 @@
   Sim.run(500ms);
   Sim.startNewTerm();
   Sim.run(500ms);
-  const std::string FirstWorker = Sim.Observed.Runs.front().Worker;
-  (FirstWorker == "w0" ? Sim.Workers[0] : Sim.Workers[1]).IsDown = true;
+  workerOfFirstRun(Sim).IsDown = true;
   Sim.run(6500ms);
   BOOST_TEST(Sim.countStarts("a") == 2);
   BOOST_TEST(joinLines(Sim.violations()) == "");
@@ -275,17 +277,15 @@
   Simulation Sim(2);
   Sim.submit("a", longRunningJob(1));
   Sim.run(500ms);
-  const std::string FirstWorker = Sim.Observed.Runs.front().Worker;
-  FakeWorker &EndedWorker =
-      FirstWorker == "w0" ? Sim.Workers[0] : Sim.Workers[1];
+  FakeWorker &EndedWorker = workerOfFirstRun(Sim);
   EndedWorker.crash(Sim.Time.now(), Sim.Observed);
   EndedWorker.Record.Instance.Incarnation -=
       1000; // the registration is still from the earlier incarnation
   EndedWorker.IsDown = true;
   Sim.startNewTerm();
   Sim.run(1s);
-  const std::set<std::string> HostedWorkers = {FirstWorker == "w0" ? "w1"
-                                                                   : "w0"};
+  const std::set<std::string> HostedWorkers = {
+      EndedWorker.Record.Instance.Id == "w0" ? "w1" : "w0"};
   Sim.JobDispatcher->setHostedWorkers(HostedWorkers);
   Sim.run(100ms);
   BOOST_TEST(Sim.countStarts("a") == 1);
@@ -406,8 +406,7 @@
   const std::set<std::string> AllWorkers = {"w0", "w1"};
   Sim.JobDispatcher->setHostedWorkers(AllWorkers);
   BOOST_TEST(!Sim.JobDispatcher->needsHostList());
-  const std::string FirstWorker = Sim.Observed.Runs.front().Worker;
-  (FirstWorker == "w0" ? Sim.Workers[0] : Sim.Workers[1]).IsDown = true;
+  workerOfFirstRun(Sim).IsDown = true;
   Sim.run(1200ms);
   BOOST_TEST(Sim.JobDispatcher->needsHostList());
   // The host is up, so the worker is only out of reach.
