--- a/review/standin/Bench.cpp
+++ b/review/standin/Bench.cpp
@@ -31,6 +31,10 @@
 const std::chrono::steady_clock::time_point ScriptStart =
     std::chrono::steady_clock::now();
 
+volatile std::sig_atomic_t EndRequested = 0;
+
+void requestEnd(int /*Signal*/) { EndRequested = 1; }
+
 std::string environmentValue(const char *Name, const std::string &Default) {
   const char *Value = std::getenv(Name);
   return Value == nullptr || *Value == '\0' ? Default : Value;
@@ -89,6 +93,8 @@
   }
   TempFolder = Template;
   Log.line(Title + (HasTrouble ? "" : " (without the disruption)"));
+  ::signal(SIGTERM, requestEnd);
+  ::signal(SIGINT, requestEnd);
   Work = std::make_unique<boost::asio::io_context::work>(Context);
   Meta = std::make_unique<Store>(Context, Log);
   MachineApi = std::make_unique<HttpServer>(
@@ -132,8 +138,8 @@
 }
 
 void Bench::tick() {
-  if (nowMs() >= MaxScriptMs) {
-    cannotRun("the script took too long");
+  if (nowMs() >= MaxScriptMs || EndRequested != 0) {
+    cannotRun("the script took too long or was stopped");
   }
   Meta->tick();
   for (const auto &[Id, One] : Workers) {
@@ -214,6 +220,7 @@
   ::posix_spawn_file_actions_addopen(&Actions, 1, One.OutputFile.c_str(),
                                      O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::posix_spawn_file_actions_adddup2(&Actions, 1, 2);
+  ::posix_spawn_file_actions_addclosefrom_np(&Actions, 3);
   std::string Program = "target/platform/balsamlatch-entry";
   std::vector<std::string> Variables = {
       "PATH=" + environmentValue("PATH", "/usr/bin:/bin"),
--- a/review/standin/Bench.h
+++ b/review/standin/Bench.h
@@ -75,6 +75,8 @@
   std::optional<std::string> value(const std::string &Key) const;
   /// Answers 503 and does nothing; leases pause meanwhile.
   void setDown(bool IsDown);
+  /// Sets the time of each answer.
+  void setAnswerTime(int Milliseconds);
   /// Removes leases that have run out and ends watches that have waited long.
   void tick();
 
@@ -136,6 +138,8 @@
     std::vector<std::string> Labels;
     std::int64_t Cpu = 64000;
     std::int64_t MemMb = 262144;
+    /// 0 for any free port.
+    unsigned short Port = 0;
   };
 
   Worker(Bench &Owner, Options Values);
--- a/review/standin/Store.cpp
+++ b/review/standin/Store.cpp
@@ -73,6 +73,11 @@
   Log.line(IsDown ? "the store is down (503)" : "the store is up");
 }
 
+void Store::setAnswerTime(int Milliseconds) {
+  Server.setDelay(Milliseconds);
+  Log.line("the store answers after " + std::to_string(Milliseconds) + " ms");
+}
+
 void Store::tick() {
   if (Down) {
     return;
--- a/review/standin/Worker.cpp
+++ b/review/standin/Worker.cpp
@@ -39,7 +39,7 @@
     : Owner(Bench_), Values(std::move(Given)), RegisteredCpu(Values.Cpu),
       Born(1'700'000'000'000 + nowMs()), StartedAt(nowMs()) {
   Server = std::make_unique<HttpServer>(
-      Owner.Context, "127.0.0.1", 0,
+      Owner.Context, "127.0.0.1", Values.Port,
       [this](const HttpRequest &Q, const HttpReply &R) { handle(Q, R); });
   registerSelf();
 }
@@ -102,7 +102,10 @@
   Active.clear();
   Holds.clear();
   Server->close();
-  Owner.Meta->remove("servers/" + Values.Id);
+  // The entry of a worker that starts again soon outlives the crash.
+  if (Values.Port == 0) {
+    Owner.Meta->remove("servers/" + Values.Id);
+  }
   Owner.record().line("worker " + Values.Id + " ends");
 }
 
