dispatch: Ends that a worker doesn't list yet are no lost runs

Cause: a worker lists its unacknowledged ends 500 at a time, from the lowest number. resolveMissingRuns() took a run that was neither running nor among the listed ends for lost, though its end may be among those that follow.

Reports now say whether they may lack ends, and none of a worker's runs is declared lost by such a report.

Ruled out: a lapsed lease, a late record of the starts.

--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -190,7 +190,9 @@
     ReportedTasks.insert(ReportedRun.Task);
     updateProgress(Worker, ReportedRun, RunIt->second);
   }
-  resolveMissingRuns(Worker, ReportedTasks, SentAt);
+  if (!Report.MayHaveMoreEnds) {
+    resolveMissingRuns(Worker, ReportedTasks, SentAt);
+  }
 }
 
 void Dispatcher::stopOrphanedRun(WorkerState &Worker,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -193,7 +193,8 @@
   void processLateEnd(const EndedTask &EndedRun);
   void processRunningTasks(WorkerState &Worker, const RenewReport &Report,
                            Instant SentAt);
-  /// Declares runs lost that are missing from a report and can't start later.
+  /// Declares runs lost that are missing from a complete report and can't start
+  /// later.
   void resolveMissingRuns(WorkerState &Worker,
                           const std::set<TaskRef> &ReportedTasks,
                           Instant SentAt);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Orders.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Orders.h
@@ -104,7 +104,11 @@
   /// Identifies the incarnation of the worker; each restart raises it.
   std::int64_t Incarnation = 0;
   std::vector<RunningTask> Running;
+  /// The ends that are not acknowledged yet, from the lowest number.
   std::vector<EndedTask> Ended;
+  /// The worker may have more ends than Ended lists, so a run that is neither
+  /// in Running nor in Ended may have ended in any way.
+  bool MayHaveMoreEnds = false;
 
   auto operator<=>(const RenewReport &) const = default;
 };
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -398,6 +398,28 @@
   BOOST_TEST((LongestWait == 1000ms));
 }
 
+// Tasks that were done ran again, since a worker lists only so many ends at a
+// time and the others were taken for lost runs.
+BOOST_AUTO_TEST_CASE(EndsThatAWorkerDoesNotListYetAreNotLost) {
+  for (const bool ChangesLeader : {false, true}) {
+    Simulation Sim(1);
+    Sim.Workers[0].MaxListedEnds = 2;
+    Sim.submit("a", simpleJob(4));
+    Sim.run(200ms);
+    Sim.JournalUnavailable = true; // no end is acknowledged
+    Sim.run(2s);
+    if (ChangesLeader) {
+      Sim.startNewTerm();
+      Sim.run(500ms);
+    }
+    Sim.JournalUnavailable = false;
+    Sim.run(5s);
+    BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+    BOOST_TEST(Sim.countStarts("a") == 4);
+    BOOST_TEST(joinLines(Sim.violations()) == "");
+  }
+}
+
 // Tasks of a crashed worker waited for two host lists that were seconds apart.
 BOOST_AUTO_TEST_CASE(AnUnresponsiveWorkerNeedsHostListsAtOnce) {
   Simulation Sim(2);
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -59,7 +59,10 @@
   RenewReport Report;
   Report.Clock = clock(Now);
   Report.Incarnation = Record.Instance.Incarnation;
-  Report.Ended = Ends;
+  const std::size_t ListedEnds = std::min(Ends.size(), MaxListedEnds);
+  Report.Ended.assign(Ends.begin(),
+                      Ends.begin() + static_cast<std::ptrdiff_t>(ListedEnds));
+  Report.MayHaveMoreEnds = ListedEnds == MaxListedEnds;
   for (auto &[Task, Run] : Runs) {
     if (Order.LeaseUntil) {
       Run.LeaseUntil = std::max(Run.LeaseUntil, *Order.LeaseUntil);
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -66,6 +66,9 @@
   Duration RunDuration = std::chrono::milliseconds(400);
   /// Time from a stop order to the end of the run.
   Duration StopDuration{};
+  /// Maximum number of ends in a report; the others follow once these are
+  /// acknowledged.
+  std::size_t MaxListedEnds = 500;
   /// Start orders must carry this ticket; empty for none.
   std::string RequiredTicket;
 
--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -180,6 +180,27 @@
   BOOST_TEST(!decodeRenewReport("{\"running_tasks\":[[1]]}").ok());
 }
 
+// Runs whose ends a worker didn't list yet were taken for lost.
+BOOST_AUTO_TEST_CASE(AFullListOfEndsMayNotBeComplete) {
+  const auto ReportWithEnds = [](unsigned Count) {
+    std::string Rows;
+    for (unsigned Number = 1; Number <= Count; ++Number) {
+      Rows += (Rows.empty() ? "[" : ",[") + std::to_string(Number) +
+              R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+    }
+    return decodeRenewReport(R"({"clock_ms":9,"ended_tasks":[)" + Rows + "]}");
+  };
+  for (const unsigned Count : {0U, 499U}) {
+    const auto Report = ReportWithEnds(Count);
+    BOOST_REQUIRE(Report.ok());
+    BOOST_TEST(Report->Ended.size() == Count);
+    BOOST_TEST(!Report->MayHaveMoreEnds);
+  }
+  const auto FullReport = ReportWithEnds(500);
+  BOOST_REQUIRE(FullReport.ok());
+  BOOST_TEST(FullReport->MayHaveMoreEnds);
+}
+
 BOOST_AUTO_TEST_CASE(TaskNamesRoundTrip) {
   const dispatch::TaskRef Task{dispatch::JobId("5c0e7a21d94b36f8"), 3, 1, 17};
   BOOST_TEST((*parseTaskName(taskName(Task)) == Task));
