dispatch: A late end of a lost run no longer ends the leader

In jobs with other open tasks the completed task was started again.

Cause: processLateEnd() proposed the end, and plan() placed the task in the same record. The end dropped the task's records, and sendStart() dereferenced the missing one. A second path led there: a start without a reply was repeated after another member had completed its gang.

A done end also counts while the loss of its run, or the task's next run, is being recorded; it was dropped before, and the task ran again.

Ruled out: a malformed report, the cut itself.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -89,6 +89,7 @@
   Fenced = false;
   Workers.clear();
   ProposedTasks.clear();
+  LateCompletions.clear();
   ClosingJobs.clear();
   OpenJobs.clear();
   LastFailedWorker.clear();
@@ -272,24 +273,40 @@
 void Dispatcher::applyRecorded(const jobs::TaskPlaced &Event) {
   ProposedTasks.erase(Event.Task);
   RunState *Run = findRun(Event.Worker.Id, Event.Task, Event.Run);
+  const RunOutcome OutcomeWithoutStart = LateCompletions.contains(Event.Task)
+                                             ? RunOutcome::Done
+                                             : RunOutcome::Refused;
   if (Run == nullptr) {
     Events.emplace_back(
-        jobs::TaskEnded{Event.Task, Event.Run, RunOutcome::Refused, {}});
+        jobs::TaskEnded{Event.Task, Event.Run, OutcomeWithoutStart, {}});
     return;
   }
   WorkerState &Worker = Workers.at(Event.Worker.Id);
   const jobs::Job *Job = Table->find(Event.Task.Job);
-  const bool IsStillWanted =
-      Job != nullptr && Job->isOpen() && !Run->StopRequested;
+  // Other events of the same record may have ended the job or the task.
+  const bool IsStillWanted = Job != nullptr && Job->isOpen() &&
+                             !Run->StopRequested &&
+                             isCurrentRun(Event.Task, Event.Run) &&
+                             OutcomeWithoutStart != RunOutcome::Done;
   // The worker may have restarted while the event was being written.
   if (!IsStillWanted || Worker.Record.Instance != Event.Worker) {
-    proposeEnd(Worker, Event.Task, *Run, RunOutcome::Refused, {});
+    proposeEnd(Worker, Event.Task, *Run, OutcomeWithoutStart, {});
     return;
   }
   orderStart(Worker, Event.Task, *Run);
 }
 
+bool Dispatcher::isCurrentRun(const TaskRef &Task, std::uint32_t Run) const {
+  const jobs::Job *Job = Table->find(Task.Job);
+  const TaskRecord *Record = Job == nullptr ? nullptr : Job->find(Task);
+  return Record != nullptr && Record->Phase == TaskPhase::Placed &&
+         Record->Run == Run;
+}
+
 void Dispatcher::applyRecorded(const jobs::TaskEnded &Event) {
+  if (Event.Outcome == RunOutcome::Done) {
+    LateCompletions.erase(Event.Task);
+  }
   const auto WorkerIt = WorkerOfEndingRun.find(Event.Task);
   if (WorkerIt != WorkerOfEndingRun.end()) {
     const RunState *Run = findRun(WorkerIt->second, Event.Task, Event.Run);
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -200,7 +200,8 @@
     const TaskRecord *Task = Candidate.record(Index);
     const bool IsWaiting = Task == nullptr || Task->Phase == TaskPhase::Waiting;
     if (IsWaiting && !isProposed(Candidate.task(Index)) &&
-        !WorkerOfEndingRun.contains(Candidate.task(Index))) {
+        !WorkerOfEndingRun.contains(Candidate.task(Index)) &&
+        !LateCompletions.contains(Candidate.task(Index))) {
       TaskIndexes.push_back(Index);
     }
   }
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -120,7 +120,9 @@
     WorkersWithUnrecordedEnds.insert(Worker.Record.Instance.Id);
     PlanNeeded = true;
     const auto RunIt = Worker.Runs.find(EndedRun.Task);
-    if (RunIt == Worker.Runs.end() || RunIt->second.Number != EndedRun.Run) {
+    // A run in phase Ending was declared lost, which isn't recorded yet.
+    if (RunIt == Worker.Runs.end() || RunIt->second.Number != EndedRun.Run ||
+        RunIt->second.Phase == RunPhase::Ending) {
       processLateEnd(EndedRun);
       continue;
     }
@@ -136,14 +138,25 @@
       Job == nullptr ? nullptr : Job->find(EndedRun.Task);
   if (EndedRun.Outcome != RunOutcome::Done || Task == nullptr ||
       Task->Phase == jobs::TaskPhase::Done || Task->Run != EndedRun.Run ||
-      Job->spec().Steps[EndedRun.Task.Step].LongRunning ||
-      isProposed(EndedRun.Task)) {
+      Job->spec().Steps[EndedRun.Task.Step].LongRunning) {
     return;
   }
+  const bool IsGang = Job->spec().Steps[EndedRun.Task.Step].Gang;
+  if (isProposed(EndedRun.Task) && IsGang) {
+    return; // the other members would be left without this one
+  }
+  Log.write(LogLevel::Info, "run-completed-late",
+            {{"job", EndedRun.Task.Job.Text},
+             {"task", taskPath(EndedRun.Task)},
+             {"run", EndedRun.Run},
+             {"proposed_again", isProposed(EndedRun.Task)}});
   // The run was declared lost, but it had completed and its task has not run
-  // again since.
-  Events.emplace_back(jobs::TaskEnded{EndedRun.Task, EndedRun.Run,
-                                      EndedRun.Outcome, EndedRun.Checkpoint});
+  // again since. If the next run is proposed, applyRecorded() ends it instead.
+  LateCompletions.insert(EndedRun.Task);
+  if (!isProposed(EndedRun.Task)) {
+    Events.emplace_back(jobs::TaskEnded{EndedRun.Task, EndedRun.Run,
+                                        EndedRun.Outcome, EndedRun.Checkpoint});
+  }
 }
 
 void Dispatcher::updateWorkerHealth(WorkerState &Worker, const TaskRef &Task,
@@ -322,7 +335,8 @@
         std::min(Worker.NextRenewalAt, Now + Settings.RenewalPeriod);
     return;
   case OrderOutcome::Unknown:
-    if (Run->StartAttempts < MaxStartAttempts && !Run->StopRequested) {
+    if (Run->StartAttempts < MaxStartAttempts && !Run->StopRequested &&
+        isCurrentRun(Order.Task, Order.Run)) {
       sendStart(Worker, Order.Task, *Run);
     } else {
       leaveStartUncertain(Worker, *Run);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -188,8 +188,8 @@
   /// Learns from a reply how long to wait for the next ones.
   void noteReplyDelay(WorkerState &Worker, Instant SentAt);
   void processEndedRuns(WorkerState &Worker, const RenewReport &Report);
-  /// Handles the end of a run that is no longer tracked, such as one that was
-  /// declared lost.
+  /// Handles the end of a run that was declared lost, or that is not tracked
+  /// for another reason.
   void processLateEnd(const EndedTask &EndedRun);
   void processRunningTasks(WorkerState &Worker, const RenewReport &Report,
                            Instant SentAt);
@@ -213,7 +213,8 @@
   void adjustPace(WorkerState &Worker, Instant Now);
   void orderRenewal(WorkerState &Worker, Instant Now, bool MayRenew);
   void orderStart(WorkerState &Worker, const TaskRef &Task, RunState &Run);
-  /// Sends a start order, also again if it got no reply.
+  /// Sends a start order, also again if it got no reply. The journal must have
+  /// the run as the current one of its task.
   void sendStart(WorkerState &Worker, const TaskRef &Task, RunState &Run);
   /// It isn't known whether the worker has started the run or still will.
   void leaveStartUncertain(WorkerState &Worker, RunState &Run);
@@ -260,6 +261,9 @@
   bool isProposed(const TaskRef &Task) const {
     return ProposedTasks.contains(Task);
   }
+  /// Whether the journal has the run as the current one of its task. It isn't
+  /// if the task, its gang or its job has ended otherwise.
+  bool isCurrentRun(const TaskRef &Task, std::uint32_t Run) const;
 
   const Clock &Time;
   const DispatchOptions Settings;
@@ -293,6 +297,9 @@
   CrashIsolation Isolation;
   // How often the runs of a task have stalled.
   std::map<TaskRef, unsigned> StallCounts;
+  // Tasks that have completed in a run that had been declared lost, while that
+  // isn't recorded yet. They must not be placed.
+  std::set<TaskRef> LateCompletions;
   // The workers of runs in phase Ending.
   std::unordered_map<TaskRef, std::string> WorkerOfEndingRun;
   // When steps were first found to have tasks that no usable worker can take.
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -420,6 +420,75 @@
   }
 }
 
+// The leader ended when a lost run turned out to be done while its task was
+// placed again, or it started the completed task again.
+BOOST_AUTO_TEST_CASE(ALostRunThatIsDoneIsNotPlacedAgain) {
+  for (const unsigned Steps : {1U, 2U}) {
+    Simulation Sim(1);
+    Sim.Workers[0].RunDuration = 1s;
+    Sim.submit("a", simpleJob(1, Steps));
+    Sim.run(300ms);
+    Sim.Workers[0].IsDown = true;
+    Sim.run(6s);
+    BOOST_TEST((Sim.job("a").find({JobId("a"), 0, 0, 0})->Phase ==
+                jobs::TaskPhase::Waiting));
+    Sim.Workers[0].IsDown = false;
+    Sim.run(5s);
+    BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+    BOOST_TEST(Sim.countStarts("a") == Steps);
+    BOOST_TEST(joinLines(Sim.violations()) == "");
+  }
+}
+
+// A completed task ran again if its run had been declared lost and that wasn't
+// recorded yet.
+BOOST_AUTO_TEST_CASE(ADoneRunCountsWhileItsLossIsBeingRecorded) {
+  Simulation Sim(1);
+  Sim.Workers[0].RunDuration = 1s;
+  Sim.submit("a", simpleJob(1));
+  Sim.run(300ms);
+  Sim.Workers[0].IsDown = true;
+  Sim.JournalUnavailable = true;
+  Sim.run(6s);
+  Sim.Workers[0].IsDown = false;
+  Sim.run(1s);
+  Sim.JournalUnavailable = false;
+  Sim.run(5s);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST(joinLines(Sim.violations()) == "");
+}
+
+// A completed task ran again if its next run was being recorded when the end
+// became known.
+BOOST_AUTO_TEST_CASE(ADoneRunCountsWhileTheNextRunIsBeingRecorded) {
+  Simulation Sim(2);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.RunDuration = 1s;
+  }
+  Sim.submit("a", simpleJob(1));
+  Sim.run(300ms);
+  FakeWorker &FirstWorker = workerOfFirstRun(Sim);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.IsDown = true;
+  }
+  Sim.run(6s);
+  BOOST_TEST((Sim.job("a").find({JobId("a"), 0, 0, 0})->Phase ==
+              jobs::TaskPhase::Waiting));
+  Sim.JournalUnavailable = true;
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.IsDown = &Worker == &FirstWorker;
+  }
+  Sim.run(2s); // the task is proposed for the other worker
+  FirstWorker.IsDown = false;
+  Sim.run(1s);
+  Sim.JournalUnavailable = false;
+  Sim.run(5s);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST(joinLines(Sim.violations()) == "");
+}
+
 // Tasks of a crashed worker waited for two host lists that were seconds apart.
 BOOST_AUTO_TEST_CASE(AnUnresponsiveWorkerNeedsHostListsAtOnce) {
   Simulation Sim(2);
@@ -591,6 +660,27 @@
   BOOST_TEST(Sim.countStarts("a") == 16); // all members run again, together
 }
 
+// The leader ended when the start of a gang member was repeated after another
+// member had completed the gang.
+BOOST_AUTO_TEST_CASE(AGangMayCompleteBeforeAllStartsAreAnswered) {
+  Simulation Sim(2);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.Record.Capacity = {1000, 1000, 0};
+    Worker.RunDuration = 50ms;
+  }
+  Sim.LosesAnswer = [](const WorkerOrder &Order) {
+    const auto *Start = std::get_if<StartOrder>(&Order);
+    return Start != nullptr && Start->Task.Index == 1;
+  };
+  jobs::JobSpec Spec = gangJob(2, 1);
+  Spec.RunSchedule = {2, Sim.Time.wallNow(), 1s};
+  Sim.submit("a", Spec);
+  Sim.run(5s);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.countStarts("a") == 4);
+  BOOST_TEST(joinLines(Sim.violations()) == "");
+}
+
 BOOST_AUTO_TEST_CASE(AGangsFailedRunCountsOnce) {
   jobs::JobTable Table = tableWithGang();
   for (unsigned Index = 0; Index < 3; ++Index) {
--- a/Tests/Dispatch/HistoryTest.cpp
+++ b/Tests/Dispatch/HistoryTest.cpp
@@ -53,6 +53,11 @@
 
 void runHistory(std::uint64_t Seed) {
   Simulation Sim(4, Seed);
+  if (Seed % 2 == 0) {
+    for (FakeWorker &Worker : Sim.Workers) {
+      Worker.MaxListedEnds = 1;
+    }
+  }
   Sim.LosesAnswer = [&](const WorkerOrder &) { return chance(Sim, 3); };
   Sim.OrderDelay = [&](const WorkerOrder &) -> std::optional<Duration> {
     return chance(Sim, 3) ? std::optional<Duration>(
