dispatch, jobs: A job keeps the terms of its queue

Cause: attempts, policy, priority and objective of a job were read from the configuration in force. For a removed queue there was no number of attempts, so the job was never closed, and it was placed with the defaults of a queue.

The terms are recorded with each job and hold once its queue is removed; all readers go through Deployment::placementOf(). Records of earlier versions are decoded as before, and earlier versions ignore the new field.

Evidence: AJobOfARemovedQueueFailsOnceItsAttemptsAreUsed had 37 starts where 3 are allowed, with the same leader and with the next one; AJobOfARemovedQueueKeepsItsPolicy stayed at 2 of 4 starts. Both pass now. Ruled out: ends that aren't recorded.

--- a/Source/Control/JobControllerRequests.cpp
+++ b/Source/Control/JobControllerRequests.cpp
@@ -54,9 +54,9 @@
       Callback({JobReply::NotLeader});
       return;
     }
-    PendingEvents.emplace_back(jobs::JobAccepted{Request.Job, Request.Queue,
-                                                 JobQueue->Pool, Request.Spec,
-                                                 Time.wallNow()});
+    PendingEvents.emplace_back(
+        jobs::JobAccepted{Request.Job, Request.Queue, JobQueue->Pool,
+                          Request.Spec, Time.wallNow(), JobQueue->Terms});
   }
   PendingSubmits.emplace(Request.Job,
                          PendingSubmit{Request.RequestId, Callback});
--- a/Source/Dispatch/Deployment.cpp
+++ b/Source/Dispatch/Deployment.cpp
@@ -36,4 +36,10 @@
   return PoolIt == Pools.end() ? nullptr : &*PoolIt;
 }
 
+JobPlacement Deployment::placementOf(const jobs::JobAccepted &Job) const {
+  const Queue *JobQueue = find(Job.Queue);
+  return JobQueue == nullptr ? JobPlacement{Job.Pool, Job.Terms}
+                             : JobPlacement{JobQueue->Pool, JobQueue->Terms};
+}
+
 } // namespace balsamlatch::dispatch
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -349,12 +349,10 @@
     Reason = "all tasks are done";
   } else if (Job->HasCrashingTask) {
     Reason = "a task crashes the workers that start it";
-  } else {
-    const Queue *JobQueue =
-        Config == nullptr ? nullptr : Config->find(Job->Record.Accepted.Queue);
-    if (JobQueue == nullptr || Job->maxFailures() < JobQueue->MaxAttempts) {
-      return;
-    }
+  } else if (Config == nullptr ||
+             Job->maxFailures() <
+                 Config->placementOf(Job->Record.Accepted).Terms.MaxAttempts) {
+    return;
   }
   ClosingJobs.insert(Id);
   Events.emplace_back(jobs::JobClosed{Id, State, Time.wallNow()});
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -104,10 +104,11 @@
 }
 
 void Dispatcher::appendWaitingSteps(
-    const Job &ParentJob, const Queue &JobQueue,
-    std::vector<WaitingStep> &Candidates) const {
+    const Job &ParentJob, std::vector<WaitingStep> &Candidates) const {
   const WallTime Now = Time.wallNow();
-  const auto MeanIt = MeanWorkByQueue.find(JobQueue.Name);
+  const jobs::JobAccepted &Accepted = ParentJob.Record.Accepted;
+  const auto [Pool, Terms] = Config->placementOf(Accepted);
+  const auto MeanIt = MeanWorkByQueue.find(Accepted.Queue);
   for (const unsigned Occurrence : ParentJob.dueOccurrences(Now)) {
     const auto OccurrenceIt = ParentJob.Record.Occurrences.find(Occurrence);
     std::optional<Rank> JobRank;
@@ -124,11 +125,11 @@
       }
       if (!JobRank) {
         JobRank = computeRank(
-            ParentJob, Occurrence, JobQueue,
+            ParentJob, Occurrence, Terms,
             MeanIt == MeanWorkByQueue.end() ? 0 : MeanIt->second, Now);
       }
-      Candidates.push_back({&ParentJob, Occurrence, Step, JobQueue.Priority,
-                            JobQueue.Pool, JobQueue.Policy, *JobRank});
+      Candidates.push_back({&ParentJob, Occurrence, Step, Terms.Priority, Pool,
+                            Terms.Policy, *JobRank});
     }
   }
 }
@@ -141,16 +142,7 @@
         ClosingJobs.contains(Id)) {
       continue;
     }
-    if (const Queue *JobQueue =
-            Config->find(ParentJob->Record.Accepted.Queue)) {
-      appendWaitingSteps(*ParentJob, *JobQueue, Candidates);
-      continue;
-    }
-    // The queue was removed from the configuration; its jobs still run to their
-    // end.
-    Queue RemovedQueue;
-    RemovedQueue.Pool = ParentJob->Record.Accepted.Pool;
-    appendWaitingSteps(*ParentJob, RemovedQueue, Candidates);
+    appendWaitingSteps(*ParentJob, Candidates);
   }
   std::sort(Candidates.begin(), Candidates.end(),
             [](const WaitingStep &Left, const WaitingStep &Right) {
--- a/Source/Dispatch/HostMoves.cpp
+++ b/Source/Dispatch/HostMoves.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <fmt/format.h>
-#include <limits>
 
 namespace balsamlatch::dispatch {
 
@@ -68,18 +67,13 @@
     if (!Job.isOpen()) {
       continue;
     }
-    const Queue *JobQueue = Config.find(Job.Record.Accepted.Queue);
-    PoolDemand &Demand =
-        DemandByPool[JobQueue == nullptr ? Job.Record.Accepted.Pool
-                                         : JobQueue->Pool];
+    const auto [Pool, Terms] = Config.placementOf(Job.Record.Accepted);
+    PoolDemand &Demand = DemandByPool[Pool];
     const bool IsNew = Now - Job.Record.Accepted.AcceptedAt < ArrivalWindow;
     const std::int64_t Weight = IsNew ? 1 + ExpectedArrivalsPerJob : 1;
     for (const unsigned Occurrence : Job.dueOccurrences(Now + DueLookahead)) {
       for (unsigned Step = 0; Step < Job.spec().Steps.size(); ++Step) {
-        addDemand(Job, Occurrence, Step, Weight,
-                  JobQueue == nullptr ? std::numeric_limits<unsigned>::max()
-                                      : JobQueue->Priority,
-                  Demand);
+        addDemand(Job, Occurrence, Step, Weight, Terms.Priority, Demand);
       }
     }
   }
@@ -136,9 +130,9 @@
   std::vector<TaskRef> PreemptedTasks;
   for (const auto &[Task, Run] : Worker->Runs) {
     const jobs::Job *Job = Jobs.find(Task.Job);
-    const Queue *JobQueue =
-        Job == nullptr ? nullptr : Config.find(Job->Record.Accepted.Queue);
-    if (JobQueue == nullptr || JobQueue->Priority <= TopPriority ||
+    if (Job == nullptr ||
+        Config.placementOf(Job->Record.Accepted).Terms.Priority <=
+            TopPriority ||
         Run.Phase != RunPhase::Running || Run.StopRequested ||
         Run.Percent > MaxPreemptedPercent) {
       continue;
--- a/Source/Dispatch/JobRank.cpp
+++ b/Source/Dispatch/JobRank.cpp
@@ -70,7 +70,7 @@
 }
 
 Rank computeRank(const jobs::Job &Job, unsigned Occurrence,
-                 const Queue &JobQueue, double MeanWork, WallTime Now) {
+                 const SchedulingTerms &Terms, double MeanWork, WallTime Now) {
   Rank Result;
   Result.DueAt = Job.dueTime(Occurrence);
   const RemainingWork WorkLeft = remainingWork(Job, Occurrence);
@@ -86,8 +86,8 @@
   const Duration Age = Now - Result.DueAt;
   const auto Objective = std::chrono::duration_cast<Duration>(
       std::min<std::chrono::duration<double, Duration::period>>(
-          estimatedCriticalPath(Job.spec()) * JobQueue.Stretch +
-              JobQueue.LatencyObjective,
+          estimatedCriticalPath(Job.spec()) * Terms.Stretch +
+              Terms.LatencyObjective,
           MaxObjective));
   if (Age + WorkLeft.CriticalPath <= Objective) {
     Result.JobClass = Rank::OnTime;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
@@ -18,20 +18,13 @@
 namespace balsamlatch::dispatch {
 
 using jobs::JobId;
+using jobs::PlacementPolicy;
 using jobs::QueueName;
 using jobs::Resources;
+using jobs::SchedulingTerms;
 using jobs::TaskRef;
 using jobs::WorkerInstance;
 
-/// Marks a queue whose steps run only on workers that a policy service permits,
-/// and tells how long its decisions take.
-struct PlacementPolicy {
-  Duration DecisionTime{};
-  Duration TimePerWorker{};
-
-  auto operator<=>(const PlacementPolicy &) const = default;
-};
-
 /// A queue: which requests it takes, and how their jobs are scheduled.
 struct Queue {
   QueueName Name;
@@ -42,16 +35,7 @@
   PoolName Pool;
   /// Timeout of a caller's request.
   Duration Timeout{};
-  /// A job is on time if it ends within Stretch times the estimated time of its
-  /// longest chain of steps plus this.
-  Duration LatencyObjective{};
-  double Stretch = 1;
-  /// 0 is the highest priority.
-  unsigned Priority = 0;
-  /// A job fails when a task of it has failed this many times.
-  unsigned MaxAttempts = 1;
-  /// If unset, tasks may run on any worker of the pool.
-  std::optional<PlacementPolicy> Policy;
+  SchedulingTerms Terms;
 
   auto operator<=>(const Queue &) const = default;
 };
@@ -67,6 +51,13 @@
   auto operator<=>(const Pool &) const = default;
 };
 
+/// Where a job runs, and on which terms. Refers to the configuration or to the
+/// job.
+struct JobPlacement {
+  const PoolName &Pool;
+  const SchedulingTerms &Terms;
+};
+
 /// A version of the operator's configuration. Version 0 means that there is
 /// none.
 struct Deployment {
@@ -82,6 +73,9 @@
   const Queue *match(std::string_view Host, std::string_view Path) const;
   const Queue *find(const QueueName &Name) const;
   const Pool *find(const PoolName &Name) const;
+  /// Returns the pool and the terms of the job's queue, or those recorded with
+  /// the job if the queue was removed.
+  JobPlacement placementOf(const jobs::JobAccepted &Job) const;
 
   auto operator<=>(const Deployment &) const = default;
 };
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -228,7 +228,7 @@
   struct WaitingStep;
   using WorkersByPool = std::map<PoolName, std::vector<WorkerState *>>;
   std::vector<WaitingStep> findWaitingSteps() const;
-  void appendWaitingSteps(const jobs::Job &ParentJob, const Queue &JobQueue,
+  void appendWaitingSteps(const jobs::Job &ParentJob,
                           std::vector<WaitingStep> &Candidates) const;
   /// Indexes of the tasks that wait for a worker.
   std::vector<unsigned> waitingTasks(const WaitingStep &Candidate) const;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/JobRank.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/JobRank.h
@@ -27,7 +27,7 @@
 
 /// \p MeanWork is the mean work of the queue's jobs in CPU milliseconds.
 Rank computeRank(const jobs::Job &Job, unsigned Occurrence,
-                 const Queue &JobQueue, double MeanWork, WallTime Now);
+                 const SchedulingTerms &Terms, double MeanWork, WallTime Now);
 
 /// Estimated work of one occurrence in CPU milliseconds.
 double estimatedWork(const jobs::JobSpec &Spec);
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -151,13 +151,42 @@
   return Task;
 }
 
+json::array termsArray(const SchedulingTerms &Terms) {
+  json::array Fields = {Terms.LatencyObjective.count(), Terms.Stretch,
+                        Terms.Priority, Terms.MaxAttempts};
+  if (Terms.Policy) {
+    Fields.emplace_back(Terms.Policy->DecisionTime.count());
+    Fields.emplace_back(Terms.Policy->TimePerWorker.count());
+  }
+  return Fields;
+}
+
+SchedulingTerms readTerms(const json::value &Value) {
+  ItemReader Reader(Value);
+  SchedulingTerms Terms;
+  Terms.LatencyObjective = Duration(Reader.number<std::int64_t>());
+  Terms.Stretch = Reader.number<double>();
+  Terms.Priority = Reader.number<unsigned>();
+  Terms.MaxAttempts = Reader.number<unsigned>();
+  if (!Reader.atEnd()) {
+    PlacementPolicy &Policy = Terms.Policy.emplace();
+    Policy.DecisionTime = Duration(Reader.number<std::int64_t>());
+    Policy.TimePerWorker = Duration(Reader.number<std::int64_t>());
+  }
+  return Terms;
+}
+
 json::array acceptedArray(const JobAccepted &Event) {
-  return {"a",
-          json::string(Event.Job.Text),
-          json::string(Event.Queue.Text),
-          json::string(Event.Pool.Text),
-          Event.AcceptedAt.time_since_epoch().count(),
-          specArray(Event.Spec)};
+  json::array Fields = {"a",
+                        json::string(Event.Job.Text),
+                        json::string(Event.Queue.Text),
+                        json::string(Event.Pool.Text),
+                        Event.AcceptedAt.time_since_epoch().count(),
+                        specArray(Event.Spec)};
+  if (Event.Terms != SchedulingTerms()) {
+    Fields.emplace_back(termsArray(Event.Terms));
+  }
+  return Fields;
 }
 
 JobAccepted readAccepted(ItemReader &Reader) {
@@ -167,6 +196,10 @@
   Event.Pool = PoolName(Reader.text());
   Event.AcceptedAt = WallTime(Duration(Reader.number<std::int64_t>()));
   Event.Spec = readSpec(Reader.next());
+  // Absent in records of earlier versions.
+  if (!Reader.atEnd()) {
+    Event.Terms = readTerms(Reader.next());
+  }
   return Event;
 }
 
--- a/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
+++ b/Source/Jobs/include/balsamlatch/Jobs/JobEvents.h
@@ -12,6 +12,7 @@
 #include <compare>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -90,6 +91,31 @@
          State == JobState::Cancelled;
 }
 
+/// Marks a queue whose steps run only on workers that a policy service permits,
+/// and tells how long its decisions take.
+struct PlacementPolicy {
+  Duration DecisionTime{};
+  Duration TimePerWorker{};
+
+  auto operator<=>(const PlacementPolicy &) const = default;
+};
+
+/// How the jobs of a queue are placed, and when they fail.
+struct SchedulingTerms {
+  /// A job is on time if it ends within Stretch times the estimated time of its
+  /// longest chain of steps plus this.
+  Duration LatencyObjective{};
+  double Stretch = 1;
+  /// 0 is the highest priority.
+  unsigned Priority = 0;
+  /// A job fails when a task of it has failed this many times.
+  unsigned MaxAttempts = 1;
+  /// If unset, tasks may run on any worker of the pool.
+  std::optional<PlacementPolicy> Policy;
+
+  auto operator<=>(const SchedulingTerms &) const = default;
+};
+
 /// The job was accepted.
 struct JobAccepted {
   JobId Job;
@@ -97,6 +123,9 @@
   PoolName Pool;
   JobSpec Spec;
   WallTime AcceptedAt{};
+  /// The terms of the queue at that time. They hold once the queue is removed
+  /// from the configuration. Records of earlier versions have none.
+  SchedulingTerms Terms;
 
   auto operator<=>(const JobAccepted &) const = default;
 };
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -30,6 +30,15 @@
   return Spec;
 }
 
+/// Puts a configuration in force that has another queue in place of the first.
+void removeFirstQueue(Simulation &Sim) {
+  auto Changed = std::make_shared<Deployment>(*Sim.Config);
+  ++Changed->Version;
+  Changed->Queues.front().Name = QueueName("other");
+  Sim.Config = Changed;
+  Sim.JobDispatcher->configure(Changed);
+}
+
 /// The worker, of the two in the simulation, that had the first run.
 FakeWorker &workerOfFirstRun(Simulation &Sim) {
   return Sim.Observed.Runs.front().Worker == "w0" ? Sim.Workers[0]
@@ -176,6 +185,26 @@
   BOOST_TEST(joinLines(Sim.violations()) == "");
 }
 
+// A failing job was started again without limit once its queue was removed.
+BOOST_AUTO_TEST_CASE(AJobOfARemovedQueueFailsOnceItsAttemptsAreUsed) {
+  for (const bool ChangesLeader : {false, true}) {
+    Simulation Sim(3);
+    for (FakeWorker &Worker : Sim.Workers) {
+      Worker.FailsAll = true;
+    }
+    Sim.submit("a", simpleJob(1));
+    Sim.run(200ms);
+    removeFirstQueue(Sim);
+    if (ChangesLeader) {
+      Sim.startNewTerm();
+    }
+    Sim.run(15s);
+    BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Failed));
+    BOOST_TEST(Sim.countStarts("a") == 3);
+    BOOST_TEST(joinLines(Sim.violations()) == "");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AFailedTaskGoesToAnotherWorker) {
   Simulation Sim(2);
   Sim.Workers[0].FailsAll = true;
@@ -514,7 +543,7 @@
 /// with odd numbers.
 struct PolicySimulation : Simulation {
   explicit PolicySimulation(unsigned Count) : Simulation(Count) {
-    Config->Queues.front().Policy = PlacementPolicy{50ms, 2ms};
+    Config->Queues.front().Terms.Policy = PlacementPolicy{50ms, 2ms};
     for (unsigned Index = 0; Index < Count; ++Index) {
       Workers[Index].RequiredTicket = Index % 2 == 1 ? ticketOf(Index) : "none";
     }
@@ -548,6 +577,20 @@
   BOOST_TEST(joinLines(Sim.violations()) == "");
 }
 
+// The steps of a job whose queue was removed were started without a permit, and
+// refused for good.
+BOOST_AUTO_TEST_CASE(AJobOfARemovedQueueKeepsItsPolicy) {
+  PolicySimulation Sim(4);
+  Sim.submit("a", simpleJob(2, 2));
+  Sim.run(300ms);
+  BOOST_TEST(Sim.countStarts("a") == 2);
+  removeFirstQueue(Sim);
+  Sim.run(5s);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.countStarts("a") == 4);
+  BOOST_TEST(joinLines(Sim.violations()) == "");
+}
+
 BOOST_AUTO_TEST_CASE(APermitThatRanOutIsAskedForAgain) {
   // The permitted worker has room for one task at a time, and each task runs
   // for about as long as a permit is valid.
@@ -580,7 +623,7 @@
 
 BOOST_AUTO_TEST_CASE(QueriesOfSeveralStepsAreOutTogether) {
   PolicySimulation Sim(6);
-  Sim.Config->Queues.front().Policy->DecisionTime = 300ms;
+  Sim.Config->Queues.front().Terms.Policy->DecisionTime = 300ms;
   Sim.JobDispatcher->setQueryLimit(4);
   for (const char *Id : {"a", "b", "c", "d"}) {
     Sim.submit(Id, simpleJob(1));
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -409,11 +409,11 @@
 struct TwoQueueFixture : FleetFixture {
   TwoQueueFixture() : FleetFixture(6) {
     Queue &FillingQueue = Sim.Config->Queues.front();
-    FillingQueue.Priority = 1;
+    FillingQueue.Terms.Priority = 1;
     UrgentQueue = FillingQueue;
     UrgentQueue.Name = QueueName("urgent");
     UrgentQueue.Pool = PoolName("urgent");
-    UrgentQueue.Priority = 0;
+    UrgentQueue.Terms.Priority = 0;
     Sim.Config->Queues.push_back(UrgentQueue);
     Sim.Config->Pools.push_back({UrgentQueue.Pool});
     Hosts.back().Pool = UrgentQueue.Pool;
@@ -465,6 +465,6 @@
 
 BOOST_FIXTURE_TEST_CASE(RunsOfAnEquallyUrgentQueueAreNotPreempted,
                         TwoQueueFixture) {
-  Sim.Config->Queues.front().Priority = 0;
+  Sim.Config->Queues.front().Terms.Priority = 0;
   BOOST_TEST(countStopped(checkpointingJob(20)) == 0U);
 }
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -206,8 +206,8 @@
   Queue TestedQueue;
   TestedQueue.Name = TestQueue;
   TestedQueue.Pool = TestPool;
-  TestedQueue.MaxAttempts = 3;
-  TestedQueue.LatencyObjective = std::chrono::milliseconds(600);
+  TestedQueue.Terms.MaxAttempts = 3;
+  TestedQueue.Terms.LatencyObjective = std::chrono::milliseconds(600);
   Config->Queues = {TestedQueue};
   Config->Pools = {{TestPool, false, true}};
   for (unsigned Index = 0; Index < WorkerCount; ++Index) {
@@ -238,8 +238,9 @@
                         const Queue &JobQueue) {
   const JobId Job(Id);
   Specs[Job] = Spec;
-  RequestedEvents.emplace_back(jobs::JobAccepted{
-      Job, JobQueue.Name, JobQueue.Pool, std::move(Spec), Time.wallNow()});
+  RequestedEvents.emplace_back(
+      jobs::JobAccepted{Job, JobQueue.Name, JobQueue.Pool, std::move(Spec),
+                        Time.wallNow(), JobQueue.Terms});
 }
 
 void Simulation::cancel(const std::string &Id) {
@@ -529,7 +530,7 @@
 
 std::vector<std::string> Simulation::violations() const {
   std::vector<std::string> Violations =
-      checkHistory(Observed, Specs, Config->Queues.front().MaxAttempts);
+      checkHistory(Observed, Specs, Config->Queues.front().Terms.MaxAttempts);
   Violations.insert(Violations.end(), Observed.Overloads.begin(),
                     Observed.Overloads.end());
   return Violations;
--- a/Tests/Jobs/JournalCodecTest.cpp
+++ b/Tests/Jobs/JournalCodecTest.cpp
@@ -236,6 +236,31 @@
   BOOST_TEST(Suspect.ConsecutiveCrashes == 2U);
 }
 
+// A new leader has the terms of a removed queue from the journal only.
+BOOST_AUTO_TEST_CASE(TermsOfAQueueAreStoredWithTheJob) {
+  JobAccepted Accepted{.Job = JobId("j"),
+                       .Queue = QueueName("q"),
+                       .Pool = PoolName("p"),
+                       .Spec = expectedFlagSpec(),
+                       .AcceptedAt = WallTime(6s),
+                       .Terms = {.LatencyObjective = 600ms,
+                                 .Stretch = 1.5,
+                                 .Priority = 1,
+                                 .MaxAttempts = 4,
+                                 .Policy = {}}};
+  for (const std::string_view StoredTerms :
+       {"[600000,1.5E0,1,4]", "[600000,1.5E0,1,4,40000,2500]"}) {
+    const std::string Stored = R"([["a","j","q","p",6000000,)" +
+                               std::string(StoredFlagSpec) + "," +
+                               std::string(StoredTerms) + "]]";
+    BOOST_TEST(encodeEvents({Accepted}) == Stored);
+    const auto Decoded = decodeEvents(Stored);
+    BOOST_REQUIRE(Decoded.ok());
+    BOOST_TEST((std::get<JobAccepted>(Decoded->front()) == Accepted));
+    Accepted.Terms.Policy = PlacementPolicy{40ms, 2500us};
+  }
+}
+
 BOOST_AUTO_TEST_CASE(StoredSpecIsDecoded) {
   const auto Decoded = decodeSpec(StoredSpec);
   BOOST_REQUIRE(Decoded.ok());
--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -139,7 +139,7 @@
   BOOST_TEST(Config->match("h", "/x/y/z/1")->Name.Text == "b");
   BOOST_TEST(Config->match("h", "/x/1")->Name.Text == "a");
   BOOST_TEST(Config->match("h", "/y/1") == nullptr);
-  BOOST_TEST(Config->find(jobs::QueueName("b"))->MaxAttempts == 4);
+  BOOST_TEST(Config->find(jobs::QueueName("b"))->Terms.MaxAttempts == 4);
   BOOST_TEST(Config->Pools.front().Standby);
   BOOST_TEST(!Config->Pools.front().EnforcesCapacity);
   BOOST_TEST(!decodeConfig("{\"routes\":[]}").ok());
@@ -152,9 +152,9 @@
       R"("validity_ms":3000}},{"name":"b","host":"h","prefix":"/y/",)"
       R"("service":"p"}],"services":[]})");
   BOOST_REQUIRE(Config.ok());
-  BOOST_REQUIRE(Config->Queues[0].Policy.has_value());
-  BOOST_TEST((Config->Queues[0].Policy->TimePerWorker == Duration(2500)));
-  BOOST_TEST(!Config->Queues[1].Policy.has_value());
+  BOOST_REQUIRE(Config->Queues[0].Terms.Policy.has_value());
+  BOOST_TEST((Config->Queues[0].Terms.Policy->TimePerWorker == Duration(2500)));
+  BOOST_TEST(!Config->Queues[1].Terms.Policy.has_value());
   const auto Permits = decodePermits(
       R"({"good":[["i-7f3a91c2","c81e-7a21d94b"]],"validity_ms":3000})");
   BOOST_REQUIRE(Permits.ok());
