platform: One odd item in the store hides no others

Operators of similar systems saw processes that ended again and again, or stopped following the list of workers, after another writer had left one odd entry there. A registration with port 0 or a capacity of 2^63 - 1 named a worker.

--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -165,6 +165,56 @@
              "5c0e7a21d94b36f8.0.1");
 }
 
+// In similar systems, one odd entry among those of the workers ended the
+// processes that read it, or kept them from following the list. Here a worker
+// could have a capacity whose sums overflow.
+BOOST_AUTO_TEST_CASE(AnOddRegistrationNamesNoWorker) {
+  const std::string GoodEntry =
+      R"({"service":"p","address":"10.0.0.1:80","state":"ready",)"
+      R"("capacity":{"cpu":4000,"mem_mb":4000},"labels":["a"],"born":5})";
+  const auto Replaced = [&](std::string_view Part, std::string_view By) {
+    std::string Text = GoodEntry;
+    return Text.replace(Text.find(Part), Part.size(), By);
+  };
+  const std::string Deep =
+      std::string(100'000, '[') + std::string(100'000, ']');
+  std::vector<std::string> OddEntries = {"",
+                                         std::string("\0\xff", 2),
+                                         "7",
+                                         "[]",
+                                         "{}",
+                                         Deep,
+                                         Deep,
+                                         Replaced(R"("p")", Deep),
+                                         Replaced(R"(["a"])", Deep),
+                                         "{",
+                                         Replaced(R"("ready")", "\xff")};
+  for (const char *Port : {"0", "65536", "-1", "99999999999999999999", "8e1"}) {
+    OddEntries.push_back(Replaced(":80", std::string(":") + Port));
+  }
+  for (const char *Amount :
+       {"-1", "9223372036854775807", "99999999999999999999", "1e300", "1e999",
+        "0.5", "\"4000\"", "{}"}) {
+    OddEntries.push_back(
+        Replaced("{\"cpu\":4000", "{\"cpu\":" + std::string(Amount)));
+  }
+  for (const char *Born : {"1e300", "99999999999999999999", "0.5", "\"5\""}) {
+    OddEntries.push_back(Replaced("5}", std::string(Born) + "}"));
+  }
+  NullLog Log;
+  WorkerRegistrations Registrations(Log, "servers/");
+  std::uint64_t Revision = 0;
+  for (const std::string &OddEntry : OddEntries) {
+    BOOST_TEST(!decodeWorker("w", OddEntry).ok(), OddEntry.substr(0, 200));
+    ++Revision;
+    Registrations.update(
+        {{"servers/a", {"servers/a", GoodEntry, Revision, 0}},
+         {"servers/m", {"servers/m", OddEntry, Revision, 0}},
+         {"servers/z", {"servers/z", GoodEntry, Revision, 0}}});
+    BOOST_TEST(Registrations.records().size() == 2);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RenewReportIsDecoded) {
   const auto Report = decodeRenewReport(
       R"({"clock_ms":9,"born":4,"running_tasks":[)"
