control: The leader reports its load once a second

Callers of the large deployment are served late or not at all when its leader falls behind, and neither logs nor metrics told a leader without processor time from one with slow workers, a slow store or too much work.

A line leader-load gives the processor time used, how late the timers ran, the orders by kind, those without a reply, the requests, the renewals that are overdue, and the length of each queue.

--- a/Source/Base/Clock.cpp
+++ b/Source/Base/Clock.cpp
@@ -25,6 +25,14 @@
       std::chrono::nanoseconds(Time.tv_nsec)));
 }
 
+Duration processorTime() {
+  timespec Time{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &Time);
+  return std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(Time.tv_sec) +
+      std::chrono::nanoseconds(Time.tv_nsec));
+}
+
 WallTime SuspendAwareClock::wallNow() const { return SystemClock().wallNow(); }
 
 } // namespace balsamlatch
--- a/Source/Base/include/balsamlatch/Base/Clock.h
+++ b/Source/Base/include/balsamlatch/Base/Clock.h
@@ -56,6 +56,9 @@
   WallTime wallNow() const override;
 };
 
+/// Processor time that the threads of this process have used.
+Duration processorTime();
+
 /// A clock that moves only when told to. Not thread safe.
 class ManualClock final : public Clock {
 public:
--- a/Source/Control/JobController.cpp
+++ b/Source/Control/JobController.cpp
@@ -38,7 +38,8 @@
       Registry(CallbackLoop, Sink, Backend, Settings.Self,
                Settings.EntryPrefix),
       JobJournal(CallbackLoop, TimeSource, Backend, Sink),
-      JobDispatcher(TimeSource, Settings.Dispatch, Sink) {}
+      JobDispatcher(TimeSource, Settings.Dispatch, Sink),
+      Load(TimeSource, Sink, Settings.ProcessorTime) {}
 
 JobController::~JobController() = default;
 
@@ -239,6 +240,7 @@
 
 void JobController::beginTerm() {
   State = Leading;
+  Load.begin();
   JobDispatcher.begin(token(), *Table);
   JobDispatcher.configure(Config);
   JobDispatcher.setWorkers(WorkerRecords);
--- a/Source/Control/JobControllerRequests.cpp
+++ b/Source/Control/JobControllerRequests.cpp
@@ -19,6 +19,7 @@
     Callback({JobReply::NotLeader});
     return;
   }
+  Load.noteRequest();
   std::visit([this, &Callback](
                  const auto &TypedRequest) { handle(TypedRequest, Callback); },
              Request);
--- a/Source/Control/JobControllerTicks.cpp
+++ b/Source/Control/JobControllerTicks.cpp
@@ -45,11 +45,33 @@
     compactJournal();
   }
   appendEvents();
-  Loop.after(TickPeriod, [this, Term = TermNumber] {
-    if (Term == TermNumber) {
-      tick();
-    }
-  });
+  reportLoad();
+  Loop.after(TickPeriod,
+             [this, DueAt = Time.now() + TickPeriod, Term = TermNumber] {
+               if (Term == TermNumber) {
+                 Load.noteTimer(DueAt);
+                 tick();
+               }
+             });
+}
+
+void JobController::reportLoad() {
+  if (!Load.isReportDue()) {
+    return;
+  }
+  JournalBacklog Backlog;
+  Backlog.PendingEvents = PendingEvents.size();
+  Backlog.EventsInFlight = Batch.size();
+  if (JobJournal.appendInFlight()) {
+    Backlog.AppendAge = Time.now() - JobJournal.appendStartedAt();
+  }
+  Load.report(Backlog, JobDispatcher.backlog());
+}
+
+void JobController::noteOutcome(dispatch::OrderOutcome Outcome) {
+  if (Outcome == dispatch::OrderOutcome::Unknown) {
+    Load.noteUnanswered();
+  }
 }
 
 void JobController::executeDecisions() {
@@ -94,6 +116,7 @@
                                           dispatch::OrderOutcome Outcome,
                                           const dispatch::RenewReport &Report) {
         if (CallTerm == Self.TermNumber) {
+          Self.noteOutcome(Outcome);
           Self.JobDispatcher.handleRenewReply(Id, SentAt, Outcome, Report);
           Self.appendEvents();
         }
@@ -103,6 +126,7 @@
       Controller.Workers.start(Start, [&Self = Controller, CallTerm = Term,
                                        Start](dispatch::OrderOutcome Outcome) {
         if (CallTerm == Self.TermNumber) {
+          Self.noteOutcome(Outcome);
           Self.JobDispatcher.handleStartReply(Start, Outcome);
         }
       });
@@ -111,6 +135,7 @@
       Controller.Workers.stop(Stop, [&Self = Controller, CallTerm = Term,
                                      Stop](dispatch::OrderOutcome Outcome) {
         if (CallTerm == Self.TermNumber) {
+          Self.noteOutcome(Outcome);
           Self.JobDispatcher.handleStopReply(Stop, Outcome);
         }
       });
@@ -119,11 +144,13 @@
       Controller.Workers.pace(Pace, [&Self = Controller, CallTerm = Term,
                                      Pace](dispatch::OrderOutcome Outcome) {
         if (CallTerm == Self.TermNumber) {
+          Self.noteOutcome(Outcome);
           Self.JobDispatcher.handlePaceReply(Pace, Outcome);
         }
       });
     }
   };
+  Load.noteOrder(Order);
   std::visit(Visitor{*this, TermNumber}, Order);
 }
 
--- a/Source/Control/include/balsamlatch/Control/JobController.h
+++ b/Source/Control/include/balsamlatch/Control/JobController.h
@@ -9,6 +9,7 @@
 #include "balsamlatch/Control/EntryRegistry.h"
 #include "balsamlatch/Control/JobService.h"
 #include "balsamlatch/Control/Journal.h"
+#include "balsamlatch/Control/LeaderLoad.h"
 #include "balsamlatch/Control/Ports.h"
 #include "balsamlatch/Control/PrefixMirror.h"
 #include "balsamlatch/Control/RefusedRequests.h"
@@ -48,6 +49,8 @@
   /// Minimum time between two journal records.
   Duration MinAppendInterval = std::chrono::milliseconds(15);
   dispatch::DispatchOptions Dispatch;
+  /// Processor time that this process has used.
+  std::function<Duration()> ProcessorTime = processorTime;
 };
 
 class JobController final : public JobService {
@@ -119,6 +122,9 @@
   /// Notes that the store has answered a call that was sent then.
   void noteStoreReply(Instant SentAt);
   void tick();
+  void reportLoad();
+  /// Notes how an order ended, for the report of the load.
+  void noteOutcome(dispatch::OrderOutcome Outcome);
   void appendEvents();
   void handleAppended();
   void handleNotWritten();
@@ -162,6 +168,7 @@
   EntryRegistry Registry;
   Journal JobJournal;
   dispatch::Dispatcher JobDispatcher;
+  LeaderLoad Load;
   std::unique_ptr<jobs::JobTable> Table = std::make_unique<jobs::JobTable>();
   std::shared_ptr<const dispatch::Deployment> Config;
   /// Workers registered during the current term; empty between terms.
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -209,6 +209,26 @@
   Orders.emplace_back(std::move(Order));
 }
 
+DispatchBacklog Dispatcher::backlog() const {
+  const Instant Now = Time.now();
+  DispatchBacklog Backlog;
+  Backlog.OpenJobs = OpenJobs.size();
+  Backlog.UnplacedSteps = UnplacedSince.size();
+  for (const auto &[Id, Worker] : Workers) {
+    Backlog.UnresponsiveWorkers += Worker.IsUnresponsive ? 1 : 0;
+    if (!Worker.RenewalInFlight && Worker.IsRegistered &&
+        Worker.NextRenewalAt < Now) {
+      ++Backlog.OverdueRenewals;
+      Backlog.LongestOverdue =
+          std::max(Backlog.LongestOverdue, Now - Worker.NextRenewalAt);
+    }
+    for (const auto &[Task, Run] : Worker.Runs) {
+      Backlog.OpenStarts += Run.Phase == RunPhase::Ordered ? 1 : 0;
+    }
+  }
+  return Backlog;
+}
+
 std::vector<JobEvent> Dispatcher::takeEvents() {
   BatchInFlight = BatchInFlight || !Events.empty();
   for (const std::string &Id : WorkersWithUnrecordedEnds) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -59,6 +59,22 @@
   Duration StatusRetention = std::chrono::seconds(120);
 };
 
+/// How much work is due, or waits for a reply.
+struct DispatchBacklog {
+  /// Workers whose next renewal is due but not sent, and the longest such
+  /// delay.
+  std::size_t OverdueRenewals = 0;
+  Duration LongestOverdue{};
+  std::size_t UnresponsiveWorkers = 0;
+  /// Runs whose start isn't answered.
+  std::size_t OpenStarts = 0;
+  std::size_t OpenJobs = 0;
+  /// Steps with tasks that no usable worker can take.
+  std::size_t UnplacedSteps = 0;
+
+  auto operator<=>(const DispatchBacklog &) const = default;
+};
+
 /// Schedules jobs while this entry is the lease holder.
 class Dispatcher {
 public:
@@ -111,6 +127,7 @@
     return RequiredHosts;
   }
   Instant now() const { return Time.now(); }
+  DispatchBacklog backlog() const;
   void setCordoned(const std::string &WorkerId, bool IsCordoned);
   /// Marks the worker while an order that ends all of its runs is open for its
   /// host, and cordons it for that time.
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -8,6 +8,7 @@
 #include "balsamlatch/Control/JobController.h"
 #include "balsamlatch/Control/JobRouter.h"
 #include "balsamlatch/Control/JobWire.h"
+#include "balsamlatch/Control/LeaderLoad.h"
 #include "balsamlatch/Control/PolicyRelay.h"
 #include "balsamlatch/Http/Server.h"
 #include "balsamlatch/Jobs/JournalCodec.h"
@@ -736,6 +737,58 @@
   BOOST_TEST(!decodeQuery("{}").ok());
 }
 
+namespace {
+
+/// Keeps the fields of each line.
+struct LineCollector final : LogSink {
+  void write(LogLevel, std::string_view Reason,
+             boost::json::object Fields) override {
+    Reasons.emplace_back(Reason);
+    Lines.push_back(std::move(Fields));
+  }
+  std::vector<std::string> Reasons;
+  std::vector<boost::json::object> Lines;
+};
+
+} // namespace
+
+// Nothing told a leader without processor time from one with slow workers.
+BOOST_AUTO_TEST_CASE(ALeaderReportsItsLoadOnceASecond) {
+  ManualClock Time;
+  LineCollector Log;
+  Duration Used = 70ms;
+  LeaderLoad Load(Time, Log, [&Used] { return Used; });
+  Load.begin();
+  Time.advance(900ms);
+  BOOST_TEST(!Load.isReportDue());
+  Load.noteTimer(Time.now() - 35ms);
+  Load.noteTimer(Time.now() - 5ms);
+  Load.noteOrder(dispatch::RenewOrder());
+  Load.noteOrder(dispatch::StartOrder());
+  Load.noteOrder(dispatch::StartOrder());
+  Load.noteUnanswered();
+  Used += 240ms;
+  Time.advance(100ms);
+  BOOST_TEST(Load.isReportDue());
+  Load.report({}, {.OverdueRenewals = 3, .LongestOverdue = 250ms});
+  BOOST_TEST(!Load.isReportDue());
+  BOOST_REQUIRE((Log.Reasons == std::vector<std::string>{"leader-load"}));
+  const auto Field = [&](const char *Name) {
+    return Log.Lines.front().at(Name).to_number<int>();
+  };
+  BOOST_TEST(Field("over_ms") == 1000);
+  BOOST_TEST(Field("cpu_ms") == 240);
+  BOOST_TEST(Field("timer_late_ms") == 35);
+  BOOST_TEST(Field("renewals") == 1);
+  BOOST_TEST(Field("starts") == 2);
+  BOOST_TEST(Field("unanswered") == 1);
+  BOOST_TEST(Field("renewals_overdue") == 3);
+  BOOST_TEST(Field("renewal_late_ms") == 250);
+  Time.advance(1s);
+  Load.report({}, {});
+  BOOST_TEST(Log.Lines.back().at("renewals").to_number<int>() == 0);
+}
+
 BOOST_AUTO_TEST_CASE(EncodedJobRequestsRoundTrip) {
   SubmitJob Submit{jobs::JobId("0123456789abcdef"), jobs::QueueName("q"), {}};
   Submit.Spec.Text = "text";
