dispatch: Workers that have ended are hardly asked any more

A worker whose host was moved or maintained, or that no host runs any more, is asked every 2 s until it reports or registers anew. A worker without runs that can't be reached is asked after 0.25, 0.5 and then every 1 s. Workers with runs are asked as before.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -200,7 +200,7 @@
     if (Record.Instance.Incarnation > Worker.Record.Instance.Incarnation) {
       setWorkerInstance(Worker, Record.Instance.Incarnation);
     }
-    if (!Worker.IsRegistered) {
+    if (!Worker.IsRegistered && !Worker.HasEnded) {
       Worker.NextRenewalAt = Time.now();
     }
     Worker.Record = Record;
@@ -223,6 +223,9 @@
   }
   Worker.Record.Instance.Incarnation = Incarnation;
   Worker.HasReported = false;
+  Worker.HasEnded = false;
+  Worker.NextRenewalAt =
+      std::min(Worker.NextRenewalAt, Time.now() + UnresponsiveRenewalPeriod);
   Worker.WasListed = false;
   Worker.OrphanedResources = {};
   Worker.LastSeenEnd = 0;
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -277,6 +277,7 @@
                ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
       handleWorkerGone(Worker, std::numeric_limits<std::int64_t>::max(),
                        "no host runs its worker any more");
+      Worker.HasEnded = true;
     }
   }
 }
@@ -301,6 +302,8 @@
   WorkerIt->second.IsRegistered = false;
   WorkerIt->second.IsCordoned = true;
   WorkerIt->second.IsUnresponsive = true;
+  WorkerIt->second.HasEnded = true;
+  WorkerIt->second.NextRenewalAt = Time.now() + Settings.IdleRenewalPeriod;
 }
 
 void Dispatcher::setCordoned(const std::string &WorkerId, bool IsCordoned) {
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -34,8 +34,9 @@
 constexpr Duration PaceRetryDelay = std::chrono::milliseconds(200);
 /// Delay before the next permit query after one without a reply.
 constexpr Duration QueryRetryDelay = std::chrono::milliseconds(100);
-/// Delay before the next renewal after one without a reply.
-constexpr Duration UnresponsiveRenewalPeriod = std::chrono::milliseconds(250);
+/// UnresponsiveRenewalPeriod doubles so often for a worker without runs, for
+/// which nothing is at stake.
+constexpr unsigned MaxRenewalDoublings = 2;
 /// Time between renewals while reported ends are not recorded yet.
 constexpr Duration JournalLagRenewalPeriod = std::chrono::milliseconds(500);
 
@@ -59,11 +60,7 @@
     }
     Worker.IsUnresponsive = true;
     ++Worker.UnansweredRenewals;
-    // A single reply may be lost although the worker is up.
-    Worker.NextRenewalAt =
-        Worker.HasReported && Worker.UnansweredRenewals <= MaxQuickRenewals
-            ? Now
-            : Now + UnresponsiveRenewalPeriod;
+    Worker.NextRenewalAt = Now + renewalRetryDelay(Worker);
     return;
   }
   noteReplyDelay(Worker, SentAt);
@@ -83,6 +80,7 @@
     extendLeaseExpiry(Worker, Now);
   }
   Worker.IsUnresponsive = false;
+  Worker.HasEnded = false;
   Worker.ListsWhileUnresponsive = 0;
   Worker.HasReported = true;
   Worker.PossibleCrashes.clear(); // the worker was only out of reach
@@ -101,6 +99,21 @@
   }
 }
 
+Duration Dispatcher::renewalRetryDelay(const WorkerState &Worker) const {
+  if (Worker.HasEnded) {
+    return Settings.IdleRenewalPeriod;
+  }
+  // A single reply may be lost although the worker is up.
+  if (Worker.HasReported && Worker.UnansweredRenewals <= MaxQuickRenewals) {
+    return Duration::zero();
+  }
+  const unsigned Doublings =
+      Worker.Runs.empty()
+          ? std::min(Worker.UnansweredRenewals - 1, MaxRenewalDoublings)
+          : 0;
+  return UnresponsiveRenewalPeriod * (1U << Doublings);
+}
+
 void Dispatcher::noteReplyDelay(WorkerState &Worker, Instant SentAt) {
   const Duration Delay = Time.now() - SentAt - Worker.RenewalWait;
   if (Worker.UnansweredRenewals > 0) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -203,6 +203,8 @@
   /// Switches to another incarnation of the worker; runs of earlier ones are
   /// lost.
   void setWorkerInstance(WorkerState &Worker, std::int64_t Incarnation);
+  /// Time until the next renewal after one without a reply.
+  Duration renewalRetryDelay(const WorkerState &Worker) const;
   /// Learns from a reply how long to wait for the next ones.
   void noteReplyDelay(WorkerState &Worker, Instant SentAt);
   void processEndedRuns(WorkerState &Worker, const RenewReport &Report);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -37,6 +37,9 @@
 /// Any order counts as unanswered after this many times that delay.
 inline constexpr int ReplyTimeoutFactor = 2;
 inline constexpr Duration MinPatience = std::chrono::milliseconds(80);
+/// Delay before the next renewal after one without a reply.
+inline constexpr Duration UnresponsiveRenewalPeriod =
+    std::chrono::milliseconds(250);
 /// Renewals in a row that are repeated with no more than that patience.
 inline constexpr unsigned MaxQuickRenewals = 2;
 
@@ -103,6 +106,9 @@
   bool HasReported = false;
   /// The last renewal failed or got no reply.
   bool IsUnresponsive = false;
+  /// This incarnation has ended as far as is known: its host was moved or
+  /// maintained, or no host runs it any more. Its registration may last longer.
+  bool HasEnded = false;
   /// Excluded from placement for maintenance or a move.
   bool IsCordoned = false;
   /// An order that ends all of its runs is open for its host.
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -518,6 +518,51 @@
   BOOST_TEST(joinLines(Sim.violations()) == "");
 }
 
+namespace {
+
+/// Counts the renewals that are sent within the time.
+unsigned countRenewals(Simulation &Sim, Duration Time) {
+  unsigned Renewals = 0;
+  Sim.LosesAnswer = [&Renewals](const WorkerOrder &Order) {
+    Renewals += std::holds_alternative<RenewOrder>(Order) ? 1 : 0;
+    return false;
+  };
+  Sim.run(Time);
+  Sim.LosesAnswer = nullptr;
+  return Renewals;
+}
+
+} // namespace
+
+// With many moves, most calls of the leader went to workers of hosts that had
+// been moved, whose registrations last for seconds.
+BOOST_AUTO_TEST_CASE(AWorkerWhoseHostWasMovedIsHardlyAsked) {
+  Simulation Sim(1);
+  Sim.run(500ms);
+  Sim.Workers[0].IsDown = true;
+  Sim.JobDispatcher->handleHostGone("w0");
+  BOOST_TEST(countRenewals(Sim, 4500ms) <= 3);
+  // The host is back with a new incarnation of the worker.
+  Sim.Workers[0].crash(Sim.Time.now(), Sim.Observed);
+  Sim.Workers[0].IsDown = false;
+  Sim.JobDispatcher->setCordoned("w0", false);
+  Sim.submit("a", simpleJob(1));
+  Sim.run(500ms);
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
+
+// The same for any worker without runs that can't be reached.
+BOOST_AUTO_TEST_CASE(AnIdleUnresponsiveWorkerIsAskedLessOften) {
+  Simulation Sim(1);
+  Sim.run(500ms);
+  Sim.Workers[0].IsDown = true;
+  BOOST_TEST(countRenewals(Sim, 10s) <= 14);
+  Sim.Workers[0].IsDown = false;
+  Sim.submit("a", simpleJob(1));
+  Sim.run(1100ms);
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
+
 // Tasks of a crashed worker waited for two host lists that were seconds apart.
 BOOST_AUTO_TEST_CASE(AnUnresponsiveWorkerNeedsHostListsAtOnce) {
   Simulation Sim(2);
