--- a/Source/Dispatch/include/balsamlatch/Dispatch/Orders.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Orders.h
@@ -72,6 +72,13 @@
 
 using WorkerOrder = std::variant<RenewOrder, StartOrder, StopOrder, PaceOrder>;
 
+/// The worker that the order is for.
+inline const WorkerAddress &workerOf(const WorkerOrder &Order) {
+  return std::visit(
+      [](const auto &Typed) -> const WorkerAddress & { return Typed.Worker; },
+      Order);
+}
+
 /// A run that is in progress on the worker.
 struct RunningTask {
   TaskRef Task;
