dispatch: The end of a job no longer takes a pass over all runs

Callers saw late jobs in a queue's turn on the large deployment. It now counts the runs of each job by worker and looks only there; the runs that it stops are the same.

Ruled out: going by the placed tasks in the job table, since a gang's other members are done there while their runs still go on.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -88,6 +88,7 @@
   Table = nullptr;
   Fenced = false;
   Workers.clear();
+  RunCountsByJob.clear();
   ProposedTasks.clear();
   LateCompletions.clear();
   ClosingJobs.clear();
@@ -145,7 +146,7 @@
         }
         Run.StopRequested = !Job.isOpen();
         Worker.ClaimedResources += Run.Claim;
-        Worker.Runs[Placed] = Run;
+        addRun(Worker, Placed, Run);
         Worker.LeasesExpireAt = TermStart + Settings.StoreOutageRenewal;
         extendLeaseExpiry(Worker, Worker.LeasesExpireAt);
       }
@@ -153,6 +154,27 @@
   }
 }
 
+void Dispatcher::addRun(WorkerState &Worker, const TaskRef &Task,
+                        const RunState &Run) {
+  if (Worker.Runs.insert_or_assign(Task, Run).second) {
+    ++RunCountsByJob[Task.Job][Worker.Record.Instance.Id];
+  }
+}
+
+void Dispatcher::removeRun(WorkerState &Worker, const TaskRef &Task) {
+  if (Worker.Runs.erase(Task) == 0) {
+    return;
+  }
+  const auto JobIt = RunCountsByJob.find(Task.Job);
+  const auto CountIt = JobIt->second.find(Worker.Record.Instance.Id);
+  if (--CountIt->second == 0) {
+    JobIt->second.erase(CountIt);
+  }
+  if (JobIt->second.empty()) {
+    RunCountsByJob.erase(JobIt);
+  }
+}
+
 RunState Dispatcher::makeRun(const TaskRef &Task, const jobs::StepSpec &Step,
                              std::uint32_t Number,
                              std::int64_t WorkerIncarnation) const {
@@ -314,7 +336,7 @@
   if (WorkerIt != WorkerOfEndingRun.end()) {
     const RunState *Run = findRun(WorkerIt->second, Event.Task, Event.Run);
     if (Run != nullptr && Run->Phase == RunPhase::Ending) {
-      Workers.at(WorkerIt->second).Runs.erase(Event.Task);
+      removeRun(Workers.at(WorkerIt->second), Event.Task);
       WorkerOfEndingRun.erase(WorkerIt);
     }
   }
@@ -331,11 +353,15 @@
   std::erase_if(StallCounts, IsOfJob);
   Isolation.removeJob(Event.Job);
   ClosingJobs.erase(Event.Job);
-  for (auto &[Id, Worker] : Workers) {
-    for (auto &[Task, Run] : Worker.Runs) {
-      if (Task.Job == Event.Job) {
-        Run.StopRequested = true;
-      }
+  const auto JobIt = RunCountsByJob.find(Event.Job);
+  if (JobIt == RunCountsByJob.end()) {
+    return;
+  }
+  for (const auto &[WorkerId, Count] : JobIt->second) {
+    std::map<TaskRef, RunState> &Runs = Workers.at(WorkerId).Runs;
+    for (auto RunIt = Runs.lower_bound({Event.Job, 0, 0, 0});
+         RunIt != Runs.end() && RunIt->first.Job == Event.Job; ++RunIt) {
+      RunIt->second.StopRequested = true;
     }
   }
 }
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -489,7 +489,7 @@
     Isolation.notePlaced(Task);
   }
   Worker.ClaimedResources += NewRun.Claim;
-  Worker.Runs[Task] = NewRun;
+  addRun(Worker, Task, NewRun);
   ProposedTasks.insert(Task);
   Events.emplace_back(jobs::TaskPlaced{Task, Run, Worker.Record.Instance});
 }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -161,6 +161,9 @@
   void applyRecorded(const jobs::JobAccepted &Event);
   template <typename EventType> void applyRecorded(const EventType &) {}
 
+  /// Tracks a run on the worker.
+  void addRun(WorkerState &Worker, const TaskRef &Task, const RunState &Run);
+  void removeRun(WorkerState &Worker, const TaskRef &Task);
   /// Raises the number up to which the ends of the worker are recorded.
   void advanceRecordedEnds(WorkerState &Worker, std::uint64_t Number);
   /// Proposes an event for the end of the run and releases its claim.
@@ -298,6 +301,8 @@
   Instant NextPlanAt{};
   Instant NextForgetAt{};
   WorkerTable Workers;
+  // Invariant: the number of Runs of each job on each worker, where it isn't 0.
+  std::unordered_map<JobId, std::map<std::string, unsigned>> RunCountsByJob;
   // Tasks with a proposed placement that is not recorded yet.
   std::unordered_set<TaskRef> ProposedTasks;
   // Jobs with a proposed close that is not recorded yet.
