control, platform: A changed registration no longer takes passes over all workers

Callers saw late jobs in a queue's turn on the large deployment. The mirror now names the changed keys, and only these are looked at. Once a second the dispatcher still compares all workers, since it may have taken one for gone that is registered.

ChangesAddUpToTheRegistrations compares changes with listings over 500 random batches.

--- a/Source/Control/JobControllerRequests.cpp
+++ b/Source/Control/JobControllerRequests.cpp
@@ -204,11 +204,17 @@
   }
 }
 
-void JobController::setWorkers(
-    std::map<std::string, dispatch::WorkerRecord> NewWorkers) {
-  WorkerRecords = std::move(NewWorkers);
+void JobController::updateWorkers(
+    const std::vector<dispatch::WorkerChange> &Changes) {
+  for (const dispatch::WorkerChange &Change : Changes) {
+    if (Change.Record) {
+      WorkerRecords.insert_or_assign(Change.WorkerId, *Change.Record);
+    } else {
+      WorkerRecords.erase(Change.WorkerId);
+    }
+  }
   if (State == Leading) {
-    JobDispatcher.setWorkers(WorkerRecords);
+    JobDispatcher.updateWorkers(Changes);
   }
 }
 
--- a/Source/Control/JobControllerTicks.cpp
+++ b/Source/Control/JobControllerTicks.cpp
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration TickPeriod = std::chrono::milliseconds(10);
+constexpr Duration WorkerCheckPeriod = std::chrono::seconds(1);
 /// The process may have been frozen while it waited for an older reply. A new
 /// leader may have taken over meanwhile and no longer accounts for the runs
 /// that the reply is about.
@@ -40,6 +41,11 @@
   if (isAppendOverdue()) {
     refusePendingSubmits();
   }
+  if (Now >= NextWorkerCheckAt) {
+    // The dispatcher may have taken a worker for gone that is still registered.
+    NextWorkerCheckAt = Now + WorkerCheckPeriod;
+    JobDispatcher.setWorkers(WorkerRecords);
+  }
   if (Now >= NextCompactionAt) {
     NextCompactionAt = Now + Settings.CompactionPeriod;
     compactJournal();
--- a/Source/Control/PrefixMirror.cpp
+++ b/Source/Control/PrefixMirror.cpp
@@ -63,6 +63,7 @@
                  return;
                }
                CurrentItems = std::exchange(ListedItems, {});
+               ChangedKeys.reset();
                Revision = ListingRevision;
                Complete = true;
                if (!std::exchange(StoreReachable, true)) {
@@ -119,7 +120,9 @@
 }
 
 void PrefixMirror::applyChanges(const std::vector<Change> &Changes) {
+  ChangedKeys.emplace();
   for (const Change &ItemChange : Changes) {
+    ChangedKeys->push_back(ItemChange.Key);
     if (ItemChange.Item) {
       CurrentItems.insert_or_assign(ItemChange.Key, *ItemChange.Item);
     } else {
--- a/Source/Control/include/balsamlatch/Control/JobController.h
+++ b/Source/Control/include/balsamlatch/Control/JobController.h
@@ -65,7 +65,8 @@
   void retire();
 
   void configure(std::shared_ptr<const dispatch::Deployment> Config);
-  void setWorkers(std::map<std::string, dispatch::WorkerRecord> NewWorkers);
+  /// Takes over registrations that have changed during the current term.
+  void updateWorkers(const std::vector<dispatch::WorkerChange> &Changes);
 
   void request(JobRequest Request, ReplyCallback Callback) override;
 
@@ -194,6 +195,7 @@
   std::optional<Instant> SlowRepliesSince;
   Instant NextAppendAt{};
   Instant NextCompactionAt{};
+  Instant NextWorkerCheckAt{};
   bool Ticking = false;
   // Incremented when a term begins or ends; callbacks of earlier terms are
   // ignored.
--- a/Source/Control/include/balsamlatch/Control/PrefixMirror.h
+++ b/Source/Control/include/balsamlatch/Control/PrefixMirror.h
@@ -41,6 +41,11 @@
   void refresh();
 
   const Items &items() const { return CurrentItems; }
+  /// While OnChange runs for a batch of changes, their keys; unset while it
+  /// runs for a listing.
+  const std::optional<std::vector<std::string>> &changedKeys() const {
+    return ChangedKeys;
+  }
   /// Whether a listing has succeeded since start().
   bool isComplete() const { return Complete; }
   /// Whether a listing has succeeded since start() and no call has failed after
@@ -61,6 +66,7 @@
   const Options Settings;
   std::function<void()> ChangeCallback;
   Items CurrentItems;
+  std::optional<std::vector<std::string>> ChangedKeys;
   Items ListedItems;
   std::uint64_t ListingRevision = 0;
   std::uint64_t Revision = 0;
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -215,22 +215,42 @@
     }
   }
   for (const auto &[Id, Record] : Records) {
-    WorkerState &Worker = Workers[Id];
-    if (Record.Instance.Incarnation < Worker.Record.Instance.Incarnation) {
-      continue; // the worker has already reported a later incarnation
-    }
-    if (Record.Instance.Incarnation > Worker.Record.Instance.Incarnation) {
-      setWorkerInstance(Worker, Record.Instance.Incarnation);
-    }
-    if (!Worker.IsRegistered && !Worker.HasEnded) {
-      Worker.NextRenewalAt = Time.now();
+    registerWorker(Id, Record);
+  }
+  PlanNeeded = true;
+}
+
+void Dispatcher::updateWorkers(const std::vector<WorkerChange> &Changes) {
+  if (Table == nullptr) {
+    return;
+  }
+  for (const WorkerChange &Change : Changes) {
+    if (Change.Record) {
+      registerWorker(Change.WorkerId, *Change.Record);
+    } else if (const auto It = Workers.find(Change.WorkerId);
+               It != Workers.end()) {
+      It->second.IsRegistered = false;
     }
-    Worker.Record = Record;
-    Worker.IsRegistered = true;
   }
   PlanNeeded = true;
 }
 
+void Dispatcher::registerWorker(const std::string &Id,
+                                const WorkerRecord &Record) {
+  WorkerState &Worker = Workers[Id];
+  if (Record.Instance.Incarnation < Worker.Record.Instance.Incarnation) {
+    return; // the worker has already reported a later incarnation
+  }
+  if (Record.Instance.Incarnation > Worker.Record.Instance.Incarnation) {
+    setWorkerInstance(Worker, Record.Instance.Incarnation);
+  }
+  if (!Worker.IsRegistered && !Worker.HasEnded) {
+    Worker.NextRenewalAt = Time.now();
+  }
+  Worker.Record = Record;
+  Worker.IsRegistered = true;
+}
+
 void Dispatcher::setWorkerInstance(WorkerState &Worker,
                                    std::int64_t Incarnation) {
   if (Worker.Record.Instance.Incarnation == Incarnation) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Deployment.h
@@ -127,6 +127,15 @@
   auto operator<=>(const WorkerRecord &) const = default;
 };
 
+/// A change of a worker's registration.
+struct WorkerChange {
+  std::string WorkerId;
+  /// Unset if the worker is no longer registered.
+  std::optional<WorkerRecord> Record;
+
+  auto operator<=>(const WorkerChange &) const = default;
+};
+
 } // namespace balsamlatch::dispatch
 
 #endif // BALSAMLATCH_DISPATCH_DEPLOYMENT_H
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -90,6 +90,8 @@
   void configure(std::shared_ptr<const Deployment> Config);
   /// Sets the workers that are registered now.
   void setWorkers(const std::map<std::string, WorkerRecord> &Records);
+  /// Takes over registrations that have changed.
+  void updateWorkers(const std::vector<WorkerChange> &Changes);
 
   /// The journal holds the events, and they are applied to the job table.
   void handleRecorded(const std::vector<jobs::JobEvent> &RecordedEvents);
@@ -148,6 +150,7 @@
   void handleHostGone(const std::string &WorkerId);
 
 private:
+  void registerWorker(const std::string &Id, const WorkerRecord &Record);
   /// Null if the worker is unknown or in another incarnation.
   WorkerState *findWorker(const WorkerInstance &Instance);
   /// Null if the task has no run with this number on the worker.
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -284,7 +284,7 @@
                         ElectionFixture) {
   auto FirstEntry = startEntry("one");
   BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
-  FirstEntry->setWorkers({{"left", registeredWorker("left")}});
+  FirstEntry->updateWorkers({{"left", registeredWorker("left")}});
   BOOST_TEST(FirstEntry->dispatcher().workers().size() == 1);
   Store.expire(Store.Items.at("lead/jobs").Lease);
   BOOST_TEST(runUntil([&] { return !FirstEntry->isLeading(); }));
@@ -331,7 +331,7 @@
   Store.RenewalsToIgnore = 1000;
   auto FirstEntry = startEntry("one");
   BOOST_TEST(runUntil([&] { return FirstEntry->isLeading(); }));
-  FirstEntry->setWorkers({{"w", registeredWorker("w")}});
+  FirstEntry->updateWorkers({{"w", registeredWorker("w")}});
   BOOST_TEST(runUntil([&] { return RunningWorkers.Renewals.size() >= 3; }));
   // The next leader assumes that this one renewed for no more than
   // StoreOutageRenewal after it last reached the store.
--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -7,7 +7,11 @@
 #include "Settings.h"
 #include "WorkerRegistrations.h"
 
+#include "balsamlatch/Dispatch/Dispatcher.h"
+
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+#include <random>
 
 using namespace balsamlatch;
 using namespace balsamlatch::platform;
@@ -123,6 +127,59 @@
   BOOST_TEST(Registrations.records().empty());
   Registrations.clear();
   BOOST_TEST(Registrations.update({}));
+  BOOST_TEST(Registrations.takeChanges().empty());
+}
+
+// A worker whose change was missed got no work, or orders after it had left.
+BOOST_AUTO_TEST_CASE(ChangesAddUpToTheRegistrations) {
+  std::mt19937_64 Random(7);
+  NullLog Log;
+  ManualClock Time;
+  jobs::JobTable Table;
+  dispatch::Dispatcher Dispatcher(Time, dispatch::DispatchOptions(), Log);
+  Dispatcher.begin(dispatch::FencingToken(1), Table);
+  WorkerRegistrations Registrations(Log, "servers/");
+  control::PrefixMirror::Items Items;
+  std::map<std::string, dispatch::WorkerRecord> Replayed;
+  for (std::uint64_t Revision = 1; Revision < 500; ++Revision) {
+    std::vector<std::string> ChangedKeys;
+    for (std::uint64_t Change = Random() % 4; Change > 0; --Change) {
+      const std::string Key = fmt::format("servers/w{}", Random() % 6);
+      ChangedKeys.push_back(Key);
+      if (Random() % 3 == 0) {
+        Items.erase(Key);
+        continue;
+      }
+      Items[Key] = {Key,
+                    fmt::format(R"({{"service":"p","address":"10.0.0.1:80",)"
+                                R"("state":"{}","born":{}}})",
+                                Random() % 5 == 0 ? "odd" : "ready",
+                                Random() % 3),
+                    Revision};
+    }
+    if (Random() % 20 == 0) {
+      Registrations.update(Items);
+    } else {
+      Registrations.update(Items, ChangedKeys);
+    }
+    const std::vector<dispatch::WorkerChange> Changes =
+        Registrations.takeChanges();
+    for (const dispatch::WorkerChange &Change : Changes) {
+      if (Change.Record) {
+        Replayed.insert_or_assign(Change.WorkerId, *Change.Record);
+      } else {
+        Replayed.erase(Change.WorkerId);
+      }
+    }
+    Dispatcher.updateWorkers(Changes);
+    WorkerRegistrations FromListing(Log, "servers/");
+    FromListing.update(Items);
+    BOOST_REQUIRE((Registrations.records() == FromListing.records()));
+    BOOST_REQUIRE((Replayed == FromListing.records()));
+    for (const auto &[Id, Worker] : Dispatcher.workers()) {
+      BOOST_REQUIRE(Worker.IsRegistered == Replayed.contains(Id));
+    }
+  }
 }
 
 BOOST_AUTO_TEST_CASE(LongestMatchingPrefixSelectsTheQueue) {
--- a/Tests/PlatformAdapter/FleetSizeTest.cpp
+++ b/Tests/PlatformAdapter/FleetSizeTest.cpp
@@ -77,13 +77,15 @@
     Items[Key] = registration(Key, ++Revision, false);
   }
   const std::string ChangedKey = Items.begin()->first;
+  Registrations.update(Items);
+  Dispatcher.updateWorkers(Registrations.takeChanges());
   bool IsDraining = false;
   return secondsFor([&] {
     for (unsigned Number = 0; Number < Changes; ++Number) {
       IsDraining = !IsDraining;
       Items[ChangedKey] = registration(ChangedKey, ++Revision, IsDraining);
-      BOOST_REQUIRE(Registrations.update(Items));
-      Dispatcher.setWorkers(Registrations.records());
+      BOOST_REQUIRE(Registrations.update(Items, {ChangedKey}));
+      Dispatcher.updateWorkers(Registrations.takeChanges());
     }
   });
 }
