control: Other entries carry the leader's orders to the workers

Cause: one process makes all calls to all workers. A turn of one queue takes 6,400 of them a second, and an entry has at most half a core. Class: work of one process that grows with the fleet.

From 128 workers on, the leader hands its orders to carriers, other entries that send them and return the replies many at a time. Orders to a lost carrier end as unanswered; those that were certainly not sent go directly; carriers refuse lower tokens and drop expired orders.

--- a/Source/Control/EntryRegistry.cpp
+++ b/Source/Control/EntryRegistry.cpp
@@ -26,17 +26,24 @@
   return json::serialize(json::object{{"entry", Record.Name},
                                       {"ip", Record.Ip},
                                       {"port", Record.Port},
-                                      {"cpu_milli", Record.CpuMilli}});
+                                      {"cpu_milli", Record.CpuMilli},
+                                      {"data_centre", Record.DataCentre.Text}});
 }
 
 absl::StatusOr<EntryRecord> decodeEntry(std::string_view Text) {
   try {
     const json::value Document = json::parse(json::string_view(Text));
     const json::object &Fields = Document.as_object();
-    return EntryRecord{std::string(Fields.at("entry").as_string()),
-                       std::string(Fields.at("ip").as_string()),
-                       Fields.at("port").to_number<std::uint16_t>(),
-                       Fields.at("cpu_milli").to_number<unsigned>()};
+    // Entries of earlier versions record no data centre.
+    const json::value *DataCentre = Fields.if_contains("data_centre");
+    return EntryRecord{
+        std::string(Fields.at("entry").as_string()),
+        std::string(Fields.at("ip").as_string()),
+        Fields.at("port").to_number<std::uint16_t>(),
+        Fields.at("cpu_milli").to_number<unsigned>(),
+        DataCentreName(DataCentre == nullptr
+                           ? std::string()
+                           : std::string(DataCentre->as_string()))};
   } catch (const std::exception &Error) {
     return absl::DataLossError(
         fmt::format("malformed record of an entry: {}", Error.what()));
--- a/Source/Control/include/balsamlatch/Control/EntryRegistry.h
+++ b/Source/Control/include/balsamlatch/Control/EntryRegistry.h
@@ -7,6 +7,7 @@
 #define BALSAMLATCH_CONTROL_ENTRYREGISTRY_H
 
 #include "balsamlatch/Base/EventLoop.h"
+#include "balsamlatch/Base/Ids.h"
 #include "balsamlatch/Base/Log.h"
 #include "balsamlatch/Control/PrefixMirror.h"
 
@@ -23,6 +24,8 @@
   std::uint16_t Port = 0;
   /// Processor time limit in thousandths of a core; 0 if unknown.
   unsigned CpuMilli = 0;
+  /// Empty if unknown.
+  DataCentreName DataCentre;
 
   auto operator<=>(const EntryRecord &) const = default;
 };
--- a/Tests/Control/LeaderTurnTest.cpp
+++ b/Tests/Control/LeaderTurnTest.cpp
@@ -2,7 +2,7 @@
 /// The turn of one queue on a fleet of 1,100 workers, as seen from the leader.
 
 #define BOOST_TEST_MODULE LeaderTurn
-#include "LeaderSimulation.h"
+#include "CarrierSimulation.h"
 
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
@@ -16,6 +16,7 @@
 
 constexpr unsigned WorkerCount = 1100;
 constexpr unsigned WorkersInTurn = 420;
+constexpr unsigned EntryCount = 147;
 constexpr unsigned TasksPerSecond = 3200;
 /// An entry has up to half a core. Half of that is left to decisions, the
 /// journal and callers, and a call takes 100 us or so.
@@ -26,7 +27,7 @@
 // The leader's loop was full for the length of a turn, and too little of the
 // queue was served.
 BOOST_AUTO_TEST_CASE(ATurnLeavesTheLeaderProcessorTime) {
-  LeaderSimulation Sim(WorkerCount);
+  CarrierSimulation Sim(WorkerCount, EntryCount);
   for (unsigned Index = 0; Index < WorkerCount; ++Index) {
     Sim.Workers[Index].RunDuration = 800ms;
     if (Index >= WorkersInTurn) {
