Base, control: One reader of JSON arrays, and what a newcomer stumbled over

The carrier pool forgets workers whose direct period is over, and its comment on the carrier's clock said the opposite of what holds: the estimate is never behind it.

--- a/Source/Control/CarrierPool.cpp
+++ b/Source/Control/CarrierPool.cpp
@@ -45,6 +45,11 @@
          (Renew == nullptr ? Duration::zero() : Renew->Wait);
 }
 
+auto ignoringReport(WorkerPort::ReplyCallback Callback) {
+  return [Callback = std::move(Callback)](
+             OrderOutcome Outcome, const RenewReport &) { Callback(Outcome); };
+}
+
 /// The carrier of a worker is the one with the highest rank for it, so that the
 /// loss of a carrier changes those of its own workers only.
 std::size_t rankFor(const std::string &WorkerId, const std::string &Carrier) {
@@ -195,23 +200,17 @@
 
 void CarrierPool::start(const dispatch::StartOrder &Order,
                         ReplyCallback Callback) {
-  send(Order,
-       [Callback = std::move(Callback)](
-           OrderOutcome Outcome, const RenewReport &) { Callback(Outcome); });
+  send(Order, ignoringReport(std::move(Callback)));
 }
 
 void CarrierPool::stop(const dispatch::StopOrder &Order,
                        ReplyCallback Callback) {
-  send(Order,
-       [Callback = std::move(Callback)](
-           OrderOutcome Outcome, const RenewReport &) { Callback(Outcome); });
+  send(Order, ignoringReport(std::move(Callback)));
 }
 
 void CarrierPool::pace(const dispatch::PaceOrder &Order,
                        ReplyCallback Callback) {
-  send(Order,
-       [Callback = std::move(Callback)](
-           OrderOutcome Outcome, const RenewReport &) { Callback(Outcome); });
+  send(Order, ignoringReport(std::move(Callback)));
 }
 
 void CarrierPool::send(WorkerOrder Order, AnyCallback Callback) {
@@ -441,6 +440,8 @@
     Unanswered.push_back(std::move(Each));
     It = OpenOrders.erase(It);
   }
+  std::erase_if(DirectUntil,
+                [Now](const auto &Entry) { return Now >= Entry.second; });
   greetCandidates();
   for (const OpenOrder &Each : Unanswered) {
     // An order that is still queued was not sent and won't be.
--- a/Source/Control/OrderBatch.cpp
+++ b/Source/Control/OrderBatch.cpp
@@ -4,6 +4,8 @@
 
 #include "balsamlatch/Control/OrderBatch.h"
 
+#include "balsamlatch/Base/JsonArrayReader.h"
+
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
 #include <array>
@@ -21,37 +23,13 @@
 
 namespace {
 
-/// Reads the items of an array in order. The JSON library throws on a wrong
-/// type or a missing item; the decoders turn the exception into a status.
-class ItemReader {
-public:
-  explicit ItemReader(const json::value &Array) : Items(Array.as_array()) {}
-
-  template <typename T> T number() { return next().to_number<T>(); }
-  std::string text() {
-    const json::string &Text = next().as_string();
-    return {Text.data(), Text.size()};
-  }
-  Duration duration() { return Duration(number<std::int64_t>()); }
-  Instant instant() { return Instant(duration()); }
-  WorkerClock workerClock() { return WorkerClock(number<std::int64_t>()); }
-  bool flag() { return next().as_bool(); }
-  const json::value &next() { return Items.at(Position++); }
-  bool atEnd() const { return Position >= Items.size(); }
-
-  /// Values beyond \p Last throw.
-  template <typename EnumT> EnumT enumerator(EnumT Last) {
-    const auto Value = number<int>();
-    if (Value < 0 || Value > static_cast<int>(Last)) {
-      throw std::out_of_range(fmt::format("no such enumerator: {}", Value));
-    }
-    return static_cast<EnumT>(Value);
-  }
+Duration readDuration(JsonArrayReader &Reader) {
+  return Duration(Reader.number<std::int64_t>());
+}
 
-private:
-  const json::array &Items;
-  std::size_t Position = 0;
-};
+WorkerClock readWorkerClock(JsonArrayReader &Reader) {
+  return WorkerClock(Reader.number<std::int64_t>());
+}
 
 void appendTask(json::array &Items, const TaskRef &Task, std::uint32_t Run) {
   Items.emplace_back(Task.Job.Text);
@@ -61,7 +39,7 @@
   Items.emplace_back(Run);
 }
 
-TaskRef readTask(ItemReader &Reader) {
+TaskRef readTask(JsonArrayReader &Reader) {
   TaskRef Task;
   Task.Job = jobs::JobId(Reader.text());
   Task.Occurrence = Reader.number<unsigned>();
@@ -106,15 +84,15 @@
 
 dispatch::WorkerOrder readOrder(std::string_view Kind, WorkerAddress Worker,
                                 dispatch::FencingToken Token,
-                                ItemReader &Reader) {
+                                JsonArrayReader &Reader) {
   if (Kind == "renew") {
     dispatch::RenewOrder Order;
     Order.Worker = std::move(Worker);
     Order.Token = Token;
     Order.LastRecordedEnd = Reader.number<std::uint64_t>();
-    Order.Wait = Reader.duration();
+    Order.Wait = readDuration(Reader);
     if (!Reader.atEnd()) {
-      Order.LeaseUntil = Reader.workerClock();
+      Order.LeaseUntil = readWorkerClock(Reader);
     }
     return Order;
   }
@@ -127,7 +105,7 @@
     Order.Task = Task;
     Order.Run = Run;
     Order.SpecText = Reader.text();
-    Order.LeaseUntil = Reader.workerClock();
+    Order.LeaseUntil = readWorkerClock(Reader);
     Order.Checkpoint = Reader.text();
     Order.Ticket = Reader.text();
     return Order;
@@ -166,13 +144,13 @@
 }
 
 dispatch::RenewReport readReport(const json::value &Value) {
-  ItemReader Reader(Value);
+  JsonArrayReader Reader(Value);
   dispatch::RenewReport Report;
-  Report.Clock = Reader.workerClock();
+  Report.Clock = readWorkerClock(Reader);
   Report.Incarnation = Reader.number<std::int64_t>();
   Report.MayHaveMoreEnds = Reader.flag();
   for (const json::value &Row : Reader.next().as_array()) {
-    ItemReader Fields(Row);
+    JsonArrayReader Fields(Row);
     dispatch::RunningTask &Run = Report.Running.emplace_back();
     Run.Task = readTask(Fields);
     Run.Run = Fields.number<std::uint32_t>();
@@ -181,7 +159,7 @@
     Run.Gauge = Fields.number<std::int64_t>();
   }
   for (const json::value &Row : Reader.next().as_array()) {
-    ItemReader Fields(Row);
+    JsonArrayReader Fields(Row);
     dispatch::EndedTask &Run = Report.Ended.emplace_back();
     Run.Task = readTask(Fields);
     Run.Run = Fields.number<std::uint32_t>();
@@ -218,21 +196,21 @@
   try {
     json::monotonic_resource Memory;
     const json::value Document = json::parse(json::string_view(Text), &Memory);
-    ItemReader Reader(Document);
+    JsonArrayReader Reader(Document);
     OrderBatch Batch;
     Batch.Token = dispatch::FencingToken(Reader.number<std::uint64_t>());
     Batch.CarrierProcess = Reader.number<std::int64_t>();
     for (const json::value &Element : Reader.next().as_array()) {
-      ItemReader Items(Element);
+      JsonArrayReader Items(Element);
       CarriedOrder &Item = Batch.Orders.emplace_back();
       const std::string Kind = Items.text();
       Item.Number = Items.number<std::uint64_t>();
-      Item.ExpiresAt = Items.instant();
+      Item.ExpiresAt = Instant(readDuration(Items));
       WorkerAddress Worker;
       Worker.Ip = Items.text();
       Worker.Port = Items.number<std::uint16_t>();
       Worker.WorkerId = Items.text();
-      Worker.ReplyTimeout = Items.duration();
+      Worker.ReplyTimeout = readDuration(Items);
       Item.Order = readOrder(Kind, std::move(Worker), Batch.Token, Items);
     }
     return Batch;
@@ -264,14 +242,14 @@
   try {
     json::monotonic_resource Memory;
     const json::value Document = json::parse(json::string_view(Text), &Memory);
-    ItemReader Reader(Document);
+    JsonArrayReader Reader(Document);
     ReplyBatch Batch;
     Batch.Outcome = Reader.enumerator(BatchOutcome::OtherProcess);
     Batch.CarrierProcess = Reader.number<std::int64_t>();
-    Batch.Clock = Reader.instant();
+    Batch.Clock = Instant(readDuration(Reader));
     Batch.IsLeaving = Reader.flag();
     for (const json::value &Element : Reader.next().as_array()) {
-      ItemReader Items(Element);
+      JsonArrayReader Items(Element);
       CarriedReply &Reply = Batch.Replies.emplace_back();
       Reply.Number = Items.number<std::uint64_t>();
       Reply.Outcome = Items.enumerator(OrderOutcome::Unknown);
--- a/Source/Control/include/balsamlatch/Control/CarrierPool.h
+++ b/Source/Control/include/balsamlatch/Control/CarrierPool.h
@@ -95,8 +95,9 @@
     EntryRecord Entry;
     CarrierPhase Phase = CarrierPhase::Unused;
     Instant BackoffUntil{};
-    /// The carrier's process and its clock, as of a reply to a call that was
-    /// sent at ClockSentAt. The actual clock is not behind that.
+    /// The carrier's process, and its clock when it replied to a call that was
+    /// sent at ClockSentAt. The carrier's clock shows at most Clock and the
+    /// time since ClockSentAt.
     std::int64_t Process = 0;
     Instant Clock{};
     Instant ClockSentAt{};
--- a/Source/Control/include/balsamlatch/Control/OrderBatch.h
+++ b/Source/Control/include/balsamlatch/Control/OrderBatch.h
@@ -9,6 +9,7 @@
 #include "balsamlatch/Dispatch/Orders.h"
 
 #include <absl/status/statusor.h>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
--- a/Source/Control/include/balsamlatch/Control/PrefixMirror.h
+++ b/Source/Control/include/balsamlatch/Control/PrefixMirror.h
@@ -12,6 +12,8 @@
 
 #include <map>
 #include <memory>
+#include <optional>
+#include <vector>
 
 namespace balsamlatch::control {
 
--- a/Source/Jobs/JournalCodec.cpp
+++ b/Source/Jobs/JournalCodec.cpp
@@ -4,6 +4,8 @@
 
 #include "balsamlatch/Jobs/JournalCodec.h"
 
+#include "balsamlatch/Base/JsonArrayReader.h"
+
 #include <absl/strings/str_cat.h>
 #include <boost/json.hpp>
 #include <limits>
@@ -61,34 +63,8 @@
           Spec.RunSchedule.Interval.count()};
 }
 
-/// Reads the items of an array in order. The JSON library throws on a wrong
-/// type or a missing item; decodeEvents() and decodeSpec() turn the exception
-/// into a status.
-class ItemReader {
-public:
-  explicit ItemReader(const json::value &Array) : Items(Array.as_array()) {}
-
-  template <typename T> T number() { return next().to_number<T>(); }
-  std::string text() { return std::string(next().as_string()); }
-  const json::value &next() { return Items.at(Position++); }
-  bool atEnd() const { return Position >= Items.size(); }
-
-private:
-  const json::array &Items;
-  std::size_t Position = 0;
-};
-
-/// Reads an enumerator. Values beyond \p Last throw.
-template <typename EnumT> EnumT readEnum(ItemReader &Reader, EnumT Last) {
-  const auto Value = Reader.number<int>();
-  if (Value < 0 || Value > static_cast<int>(Last)) {
-    throw std::out_of_range(absl::StrCat("no such enumerator: ", Value));
-  }
-  return static_cast<EnumT>(Value);
-}
-
 StepSpec readStep(const json::value &Value) {
-  ItemReader Reader(Value);
+  JsonArrayReader Reader(Value);
   StepSpec Step;
   Step.Count = Reader.number<unsigned>();
   Step.RequestedResources.CpuMilli = Reader.number<std::int64_t>();
@@ -115,7 +91,7 @@
 }
 
 JobSpec readSpec(const json::value &Value) {
-  ItemReader Reader(Value);
+  JsonArrayReader Reader(Value);
   JobSpec Spec;
   Spec.Text = Reader.text();
   for (const json::value &Step : Reader.next().as_array()) {
@@ -142,7 +118,7 @@
           Run};
 }
 
-TaskRef readTaskRef(ItemReader &Reader) {
+TaskRef readTaskRef(JsonArrayReader &Reader) {
   TaskRef Task;
   Task.Job = JobId(Reader.text());
   Task.Occurrence = Reader.number<unsigned>();
@@ -162,7 +138,7 @@
 }
 
 SchedulingTerms readTerms(const json::value &Value) {
-  ItemReader Reader(Value);
+  JsonArrayReader Reader(Value);
   SchedulingTerms Terms;
   Terms.LatencyObjective = Duration(Reader.number<std::int64_t>());
   Terms.Stretch = Reader.number<double>();
@@ -189,7 +165,7 @@
   return Fields;
 }
 
-JobAccepted readAccepted(ItemReader &Reader) {
+JobAccepted readAccepted(JsonArrayReader &Reader) {
   JobAccepted Event;
   Event.Job = JobId(Reader.text());
   Event.Queue = QueueName(Reader.text());
@@ -221,9 +197,9 @@
 }
 
 TaskRecord readTaskRecord(const json::value &Value) {
-  ItemReader Reader(Value);
+  JsonArrayReader Reader(Value);
   TaskRecord Task;
-  Task.Phase = readEnum(Reader, TaskPhase::Done);
+  Task.Phase = Reader.enumerator(TaskPhase::Done);
   Task.Run = Reader.number<std::uint32_t>();
   Task.Failures = Reader.number<std::uint32_t>();
   Task.LastFailedRun = Reader.number<std::uint32_t>();
@@ -281,16 +257,16 @@
   }
 }
 
-JobSnapshot readSnapshot(ItemReader &Reader) {
+JobSnapshot readSnapshot(JsonArrayReader &Reader) {
   JobSnapshot Event;
-  ItemReader AcceptedReader(Reader.next());
+  JsonArrayReader AcceptedReader(Reader.next());
   AcceptedReader.next();
   Event.Accepted = readAccepted(AcceptedReader);
-  Event.State = readEnum(Reader, JobState::Cancelled);
+  Event.State = Reader.enumerator(JobState::Cancelled);
   Event.ClosedAt = WallTime(Duration(Reader.number<std::int64_t>()));
   Event.EverPlaced = Reader.next().as_bool();
   for (const json::value &OccurrenceItem : Reader.next().as_array()) {
-    ItemReader OccurrenceReader(OccurrenceItem);
+    JsonArrayReader OccurrenceReader(OccurrenceItem);
     const auto OccurrenceIndex = OccurrenceReader.number<unsigned>();
     OccurrenceRecord &Steps = Event.Occurrences[OccurrenceIndex];
     for (const json::value &Tasks : OccurrenceReader.next().as_array()) {
@@ -348,7 +324,7 @@
   }
 };
 
-JobEvent readTaskEvent(char Kind, ItemReader &Reader) {
+JobEvent readTaskEvent(char Kind, JsonArrayReader &Reader) {
   const TaskRef Task = readTaskRef(Reader);
   const auto Run = Reader.number<std::uint32_t>();
   if (Kind == 'p') {
@@ -358,14 +334,14 @@
     return Event;
   }
   if (Kind == 'e') {
-    const auto End = readEnum(Reader, RunOutcome::WorkerCrashedUnconfirmed);
+    const auto End = Reader.enumerator(RunOutcome::WorkerCrashedUnconfirmed);
     return TaskEnded{Task, Run, End, Reader.text()};
   }
   return CheckpointSaved{Task, Run, Reader.text()};
 }
 
 JobEvent readEvent(const json::value &Value) {
-  ItemReader Reader(Value);
+  JsonArrayReader Reader(Value);
   const std::string Kind = Reader.text();
   if (Kind == "a") {
     return readAccepted(Reader);
@@ -373,7 +349,7 @@
   if (Kind == "z") {
     JobClosed Event;
     Event.Job = JobId(Reader.text());
-    Event.State = readEnum(Reader, JobState::Cancelled);
+    Event.State = Reader.enumerator(JobState::Cancelled);
     Event.ClosedAt = WallTime(Duration(Reader.number<std::int64_t>()));
     return Event;
   }
