control: Replies of a carrier are encoded without copies

The rows were built in one memory resource and moved into arrays of others, which copies them: each report once, and the whole batch once more. All arrays now use the same one. The encoded text is the same; EncodedBatchesRoundTrip and the histories pass. The file's head comment spoke of a letter where the kind is a word.

--- a/Source/Control/OrderBatch.cpp
+++ b/Source/Control/OrderBatch.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// Batches are JSON arrays; an order is an array whose first item is a letter
-/// for its kind.
+/// Batches are JSON arrays; an order is an array whose first item names its
+/// kind.
 
 #include "balsamlatch/Control/OrderBatch.h"
 
@@ -221,8 +221,7 @@
 }
 
 std::string encodeReplyBatch(const ReplyBatch &Batch) {
-  json::monotonic_resource Memory;
-  json::array Replies(&Memory);
+  json::array Replies;
   Replies.reserve(Batch.Replies.size());
   for (const CarriedReply &Reply : Batch.Replies) {
     json::array &Items = Replies.emplace_back(json::array()).as_array();
