dispatch: Delayed tasks of persistent steps are reported

Callers saw a persistent task that didn't run, with room for it, and no line told why: whether the leader believed that it ran, didn't look at it, or left out the workers that had room. Once a second a line for each step with tasks that have not run for 2 s now says what is believed of the oldest one, and counts the pool's workers with room by what keeps them from it. Lines are a step, not a task, so that a lost rack writes a few. No decision changes; canTake() is split from chooseWorker().

Test: ADelayedTaskIsReportedWithWhyWorkersAreLeftOut.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -99,6 +99,7 @@
   WorkerOfEndingRun.clear();
   WorkersWithUnrecordedEnds.clear();
   UnplacedSince.clear();
+  DelayedSince.clear();
   RequiredHosts.clear();
   Permits.clear();
   Queries.clear();
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -47,6 +47,7 @@
     NextForgetAt = Now + ForgetPeriod;
     PlanNeeded = true; // scheduled jobs become due without an event
     forgetClosedJobs();
+    reportDelayedTasks(Now);
   }
 }
 
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -418,6 +418,14 @@
   }
 }
 
+bool Dispatcher::canTake(const WorkerState &Worker, const StepSpec &Step,
+                         const TaskRef &Task) {
+  return !Worker.Runs.contains(Task) &&
+         (Step.RequiredLabel.empty() || Worker.hasLabel(Step.RequiredLabel)) &&
+         (Step.MaxPerWorker == 0 ||
+          countRunsOfStep(Worker, Task) < Step.MaxPerWorker);
+}
+
 Dispatcher::WorkerChoice
 Dispatcher::chooseWorker(const WaitingStep &Candidate, unsigned Index,
                          const UsableWorkers &Pool) const {
@@ -439,11 +447,7 @@
       continue;
     }
     Best.HasRoom = true;
-    if (Worker->Runs.contains(Task) || (Worker->IsReserved && !IsIsolated) ||
-        (!Step.RequiredLabel.empty() &&
-         !Worker->hasLabel(Step.RequiredLabel)) ||
-        (Step.MaxPerWorker > 0 &&
-         countRunsOfStep(*Worker, Task) >= Step.MaxPerWorker) ||
+    if (!canTake(*Worker, Step, Task) || (Worker->IsReserved && !IsIsolated) ||
         (Candidate.Terms->Policy &&
          Permits.findTicket(stepOf(Task), Worker->Record.Instance,
                             PermitUntil) == nullptr) ||
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -278,12 +278,26 @@
   /// Members of a gang wait together for workers of their own.
   void noteIsolationWaits(const WaitingStep &Candidate,
                           const std::vector<unsigned> &TaskIndexes);
+  /// Whether the worker has what the step requires besides free resources.
+  static bool canTake(const WorkerState &Worker, const jobs::StepSpec &Step,
+                      const TaskRef &Task);
   WorkerChoice chooseWorker(const WaitingStep &Candidate, unsigned Index,
                             const UsableWorkers &Pool) const;
   void proposePlacement(const WaitingStep &Candidate, unsigned Index,
                         WorkerState &Worker, std::uint32_t Run);
   void queryPermits(const std::vector<WaitingStep> &Candidates,
                     const WorkersByPool &UsableByPool, Instant Now);
+  /// Writes a line for each long-running step with tasks that have not been at
+  /// work for a while, with what distinguishes the causes.
+  void reportDelayedTasks(Instant Now);
+  struct DelayedStep;
+  void logDelayedStep(const DelayedStep &Delayed, Instant Now) const;
+  /// What is known of a task that isn't known to run at present.
+  std::string_view delayedTaskState(const TaskRef &Task,
+                                    const jobs::TaskRecord *Record) const;
+  /// Whether the task runs by a recent report of its worker.
+  bool isKnownToRun(const TaskRef &Task, const jobs::TaskRecord *Record,
+                    Instant Now) const;
   bool isProposed(const TaskRef &Task) const {
     return ProposedTasks.contains(Task);
   }
@@ -333,6 +347,8 @@
   // When steps were first found to have tasks that no usable worker can take.
   std::map<StepRef, Instant> UnplacedSince;
   std::map<PoolName, unsigned> RequiredHosts;
+  // When tasks of long-running steps were first found not to run.
+  std::map<TaskRef, Instant> DelayedSince;
   PermitCache Permits;
   std::vector<PermitQuery> Queries;
   std::set<StepRef> QueriesInFlight;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -89,6 +89,18 @@
   bool PaceInFlight = false;
 };
 
+/// Why a worker gets no new work.
+enum class WorkerExclusion {
+  None,
+  NotRegistered,
+  NotReported,
+  Unresponsive,
+  Cordoned,
+  Draining,
+  /// Runs on it have failed, or it has refused a run.
+  Avoided,
+};
+
 /// A run that was declared lost, and how it counts if its worker turns out to
 /// have crashed.
 struct PossibleCrash {
@@ -204,10 +216,18 @@
                                : replyTimeout();
     return Address;
   }
+  WorkerExclusion exclusionAt(Instant Now) const {
+    return !IsRegistered      ? WorkerExclusion::NotRegistered
+           : !HasReported     ? WorkerExclusion::NotReported
+           : IsUnresponsive   ? WorkerExclusion::Unresponsive
+           : IsCordoned       ? WorkerExclusion::Cordoned
+           : Record.Draining  ? WorkerExclusion::Draining
+           : Now < AvoidUntil ? WorkerExclusion::Avoided
+                              : WorkerExclusion::None;
+  }
   /// Whether new work may be placed on the worker.
   bool isUsable(Instant Now) const {
-    return IsRegistered && HasReported && !IsUnresponsive && !IsCordoned &&
-           !Record.Draining && Now >= AvoidUntil;
+    return exclusionAt(Now) == WorkerExclusion::None;
   }
 };
 
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -908,3 +908,25 @@
   Sim.startNewTerm();
   BOOST_TEST((Sim.longestOver(10s) < 3s));
 }
+
+BOOST_AUTO_TEST_CASE(ADelayedTaskIsReportedWithWhyWorkersAreLeftOut) {
+  Simulation Sim(3);
+  Sim.Log.KeptReason = "tasks-delayed";
+  Sim.submit("a", longRunningJob(2));
+  Sim.run(500ms);
+  BOOST_TEST(Sim.Log.Kept.empty());
+  FakeWorker &Worker = workerOfFirstRun(Sim);
+  for (FakeWorker &Other : Sim.Workers) {
+    Sim.JobDispatcher->setCordoned(Other.Record.Instance.Id, true);
+  }
+  Worker.crash(Sim.Time.now(), Sim.Observed);
+  Sim.run(5s);
+  BOOST_REQUIRE(!Sim.Log.Kept.empty());
+  const boost::json::object &Line = Sim.Log.Kept.back();
+  BOOST_TEST(Line.at("job").as_string() == "a");
+  BOOST_TEST(Line.at("state").as_string() == "waiting");
+  BOOST_TEST(Line.at("tasks").as_uint64() == 1);
+  BOOST_TEST(Line.at("delayed_ms").as_int64() >= 2000);
+  BOOST_TEST(Line.at("cordoned").as_uint64() == 3);
+  BOOST_TEST(Line.at("usable").as_uint64() == 0);
+}
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -119,6 +119,20 @@
   std::vector<EndedTask> Ends;
 };
 
+/// Keeps the lines of one reason.
+class RecordingLog final : public LogSink {
+public:
+  std::string KeptReason;
+  std::vector<boost::json::object> Kept;
+
+  void write(LogLevel, std::string_view Reason,
+             boost::json::object Fields) override {
+    if (Reason == KeptReason) {
+      Kept.push_back(std::move(Fields));
+    }
+  }
+};
+
 /// Runs a dispatcher against fake workers and a simulated journal.
 class Simulation {
 public:
@@ -139,7 +153,7 @@
   unsigned countStarts(const std::string &Id) const;
 
   ManualClock Time;
-  NullLog Log;
+  RecordingLog Log;
   History Observed;
   std::vector<FakeWorker> Workers;
   jobs::JobTable Table;
