dispatch: Cordons follow from the drains and orders in progress

A worker that crashed while its host drained for a move, or while an order for its host was open, and came back under the same ID, got no work for the rest of the leader's term, while its host was up and had room. Persistent tasks that only it could take didn't run.

Cause: the cordon was a flag on the worker that waves, moves and host orders each set and cleared for the worker that the host has at that moment. Now the host scheduler derives all cordons from the drains and orders in progress and sets them as a whole.

handleHostGone() doesn't cordon any more: the worker is unresponsive instead, and a reply to a renewal from before the order doesn't bring it back (AReplyFromBeforeAHostOrderBringsNoWorkerBack, seen failing without that check).

AWorkerWhoseHostWasMovedIsHardlyAsked lifted the cordon by hand, which is no longer needed.

--- a/Source/Dispatch/DelayedTasks.cpp
+++ b/Source/Dispatch/DelayedTasks.cpp
@@ -74,15 +74,14 @@
   return !Worker.IsUnresponsive && Now - Worker.LastReportAt < MaxReportAge;
 }
 
-std::string_view
-Dispatcher::delayedTaskState(const TaskRef &Task,
-                             const TaskRecord *Record) const {
+std::string_view Dispatcher::delayedTaskState(const TaskRef &Task,
+                                              const TaskRecord *Record) const {
   if (Record == nullptr || Record->Phase == TaskPhase::Waiting) {
-    return isProposed(Task)                      ? "proposed"
-           : WorkerOfEndingRun.contains(Task)    ? "end-unrecorded"
-           : LateCompletions.contains(Task)      ? "completed-late"
-           : ClosingJobs.contains(Task.Job)      ? "job-closing"
-                                                 : "waiting";
+    return isProposed(Task)                   ? "proposed"
+           : WorkerOfEndingRun.contains(Task) ? "end-unrecorded"
+           : LateCompletions.contains(Task)   ? "completed-late"
+           : ClosingJobs.contains(Task.Job)   ? "job-closing"
+                                              : "waiting";
   }
   const RunState *Run = findTrackedRun(Workers, Task, *Record);
   return Run == nullptr ? "untracked" : phaseName(Run->Phase);
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -248,15 +248,6 @@
   return std::exchange(Queries, {});
 }
 
-void Dispatcher::setHostOrderPending(const std::string &WorkerId,
-                                     bool OrderPending) {
-  setCordoned(WorkerId, OrderPending);
-  const auto WorkerIt = Workers.find(WorkerId);
-  if (WorkerIt != Workers.end()) {
-    WorkerIt->second.HostOrderPending = OrderPending;
-  }
-}
-
 void Dispatcher::moveRun(const std::string &WorkerId, const TaskRef &Task,
                          std::string_view Reason) {
   const auto WorkerIt = Workers.find(WorkerId);
@@ -301,17 +292,19 @@
   endAllAsLost(WorkerIt->second,
                "the host of the worker was moved or maintained");
   WorkerIt->second.IsRegistered = false;
-  WorkerIt->second.IsCordoned = true;
   WorkerIt->second.IsUnresponsive = true;
   WorkerIt->second.HasEnded = true;
+  WorkerIt->second.EndedAt = Time.now();
   WorkerIt->second.NextRenewalAt = Time.now() + Settings.IdleRenewalPeriod;
 }
 
-void Dispatcher::setCordoned(const std::string &WorkerId, bool IsCordoned) {
-  const auto WorkerIt = Workers.find(WorkerId);
-  if (WorkerIt != Workers.end()) {
-    WorkerIt->second.IsCordoned = IsCordoned;
-    PlanNeeded = true;
+void Dispatcher::setCordons(const std::map<std::string, Cordon> &Cordons) {
+  for (auto &[Id, Worker] : Workers) {
+    const auto CordonIt = Cordons.find(Id);
+    const Cordon NewCordon =
+        CordonIt == Cordons.end() ? Cordon::None : CordonIt->second;
+    PlanNeeded = PlanNeeded || NewCordon != Worker.HostCordon;
+    Worker.HostCordon = NewCordon;
   }
 }
 
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -52,6 +52,9 @@
   WorkerState &Worker = WorkerIt->second;
   const Instant Now = Time.now();
   Worker.RenewalInFlight = false;
+  if (Worker.HasEnded && SentAt < Worker.EndedAt) {
+    return;
+  }
   if (Outcome != OrderOutcome::Done) {
     Fenced = Fenced || Outcome == OrderOutcome::Fenced;
     if (!Worker.IsUnresponsive && Worker.HasReported) {
--- a/Source/Dispatch/HostMoves.cpp
+++ b/Source/Dispatch/HostMoves.cpp
@@ -192,21 +192,12 @@
   std::set<HostName> HostsToDrain;
   for (const PoolPlan::HostMove &Drain : Plan.Drains) {
     HostsToDrain.insert(Drain.Host);
-    if (HostsDrainingForMove.insert(Drain.Host).second) {
-      JobDispatcher.setCordoned(find(Drain.Host)->WorkerId, true);
-    }
+    HostsDrainingForMove.insert(Drain.Host);
     preemptRuns(Drain.Host, DemandByPool[Drain.TargetPool].TopPriority, Jobs,
                 Config, JobDispatcher);
   }
   std::erase_if(HostsDrainingForMove, [&](const HostName &Name) {
-    const HostRecord *Host = find(Name);
-    if (HostsToDrain.contains(Name)) {
-      return false;
-    }
-    if (Host != nullptr) {
-      JobDispatcher.setCordoned(Host->WorkerId, false);
-    }
-    return true;
+    return !HostsToDrain.contains(Name);
   });
 }
 
--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -39,7 +39,8 @@
                                const Dispatcher &JobDispatcher) {
   const auto WorkerIt = JobDispatcher.workers().find(Placement.Worker.Id);
   if (WorkerIt == JobDispatcher.workers().end() ||
-      WorkerIt->second.HostOrderPending || WorkerIt->second.IsUnresponsive ||
+      WorkerIt->second.HostCordon == Cordon::OrderPending ||
+      WorkerIt->second.IsUnresponsive ||
       JobDispatcher.now() - WorkerIt->second.LastReportAt > MaxReportAge) {
     return nullptr;
   }
@@ -171,6 +172,7 @@
     Hosts.emplace(std::move(Name), std::move(Host));
   }
   settleOrders(JobDispatcher);
+  JobDispatcher.setCordons(cordons());
   JobDispatcher.setHostedWorkers(WorkerIds);
 }
 
@@ -203,14 +205,40 @@
     decideWave(ActiveWave, JobDispatcher, Jobs, Decisions);
   }
   decideMoves(JobDispatcher, Jobs, Config, Decisions);
+  JobDispatcher.setCordons(cordons());
   return Decisions;
 }
 
+std::map<std::string, Cordon> HostScheduler::cordons() const {
+  std::map<std::string, Cordon> Cordons;
+  const auto AddDraining = [&](const HostName &Name) {
+    if (const HostRecord *Host = find(Name)) {
+      Cordons[Host->WorkerId] = Cordon::Draining;
+    }
+  };
+  for (const HostName &Name : HostsDrainingForMove) {
+    AddDraining(Name);
+  }
+  for (const auto &[Number, ActiveWave] : Waves) {
+    for (const auto &[Name, Since] : ActiveWave.DrainingSince) {
+      AddDraining(Name);
+    }
+  }
+  for (const auto &[Name, Order] : OpenOrders) {
+    Cordons[Order.WorkerId] = Cordon::OrderPending;
+  }
+  for (const auto &[Name, OrderAndAnswer] : AnsweredOrders) {
+    Cordons[OrderAndAnswer.first.WorkerId] = Cordon::OrderPending;
+  }
+  return Cordons;
+}
+
 void HostScheduler::issueOrder(HostOrder Order, Dispatcher &JobDispatcher,
                                std::vector<HostDecision> &Decisions) {
-  JobDispatcher.setHostOrderPending(Order.WorkerId, true);
   OpenOrders[Order.Host] = Order;
   OrderedAt[Order.Host] = Time.now();
+  // The next order must count the tasks on this worker as unavailable.
+  JobDispatcher.setCordons(cordons());
   Decisions.emplace_back(std::move(Order));
 }
 
@@ -302,7 +330,6 @@
     if (IsOverdue && !MayInterrupt) {
       // The step may need this host to bring its missing tasks back, and until
       // then no further task may be interrupted.
-      JobDispatcher.setCordoned(Host->WorkerId, false);
       ActiveWave.DrainingSince.erase(DrainIt);
       ActiveWave.NextDrainAt[Host->Name] = Now + DrainRetryDelay;
       continue;
@@ -311,7 +338,6 @@
         ActiveWave.DrainingSince.size() < MaxDrains &&
         Now >= ActiveWave.NextDrainAt[Host->Name]) {
       ActiveWave.DrainingSince[Host->Name] = Now;
-      JobDispatcher.setCordoned(Host->WorkerId, true);
     }
   }
 }
@@ -330,7 +356,6 @@
     if (IsGone) {
       JobDispatcher.handleHostGone(Order.WorkerId);
     } else {
-      JobDispatcher.setHostOrderPending(Order.WorkerId, false);
       MovingHosts.erase(Name);
     }
     if (const auto WaveIt = Waves.find(Order.Wave); WaveIt != Waves.end()) {
@@ -358,7 +383,7 @@
   if (const auto WaveIt = Waves.find(Order.Wave); WaveIt != Waves.end()) {
     WaveIt->second.DrainingSince.erase(Order.Host);
   }
-  JobDispatcher.setHostOrderPending(Order.WorkerId, false);
+  JobDispatcher.setCordons(cordons());
 }
 
 void HostScheduler::addDoneHosts(std::uint64_t Number,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -131,10 +131,8 @@
   }
   Instant now() const { return Time.now(); }
   DispatchBacklog backlog() const;
-  void setCordoned(const std::string &WorkerId, bool IsCordoned);
-  /// Marks the worker while an order that ends all of its runs is open for its
-  /// host, and cordons it for that time.
-  void setHostOrderPending(const std::string &WorkerId, bool OrderPending);
+  /// Cordons these workers, by ID, and no others.
+  void setCordons(const std::map<std::string, Cordon> &Cordons);
   /// Stops the run of the task on the worker, so that the task is placed again.
   /// \p Reason is logged.
   void moveRun(const std::string &WorkerId, const TaskRef &Task,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -112,6 +112,9 @@
 
   /// Takes the effect of answered orders from the host list.
   void settleOrders(Dispatcher &JobDispatcher);
+  /// The workers to keep free of new work, from the drains and orders in
+  /// progress.
+  std::map<std::string, Cordon> cordons() const;
   const HostRecord *find(const HostName &Name) const;
   /// Whether the earlier lease holder may have ordered the host just before the
   /// term began.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -89,6 +89,15 @@
   bool PaceInFlight = false;
 };
 
+/// Whether the worker is kept free of new work for its host.
+enum class Cordon {
+  None,
+  /// The host is to be maintained or moved once it is vacant.
+  Draining,
+  /// An order that ends all runs on the worker is open for the host.
+  OrderPending,
+};
+
 /// Why a worker gets no new work.
 enum class WorkerExclusion {
   None,
@@ -121,10 +130,10 @@
   /// This incarnation has ended as far as is known: its host was moved or
   /// maintained, or no host runs it any more. Its registration may last longer.
   bool HasEnded = false;
-  /// Excluded from placement for maintenance or a move.
-  bool IsCordoned = false;
-  /// An order that ends all of its runs is open for its host.
-  bool HostOrderPending = false;
+  /// When a host order was seen to have ended this incarnation. Replies to
+  /// earlier renewals say nothing of it.
+  Instant EndedAt{};
+  Cordon HostCordon = Cordon::None;
   /// Set while an isolated run has not settled, and until the next report after
   /// such a run has ended.
   bool MayHaveIsolatedRun = false;
@@ -191,7 +200,9 @@
     return !Runs.empty() || OrphanedResources != Resources();
   }
   /// Whether the end of the worker is planned, so that it is no crash.
-  bool isLeaving() const { return Record.Draining || HostOrderPending; }
+  bool isLeaving() const {
+    return Record.Draining || HostCordon == Cordon::OrderPending;
+  }
   bool hasLabel(const std::string &Label) const;
   /// Whether best-effort tasks share the worker with serving tasks, so that the
   /// tails of the serving tasks control the pace of the best-effort tasks.
@@ -217,13 +228,13 @@
     return Address;
   }
   WorkerExclusion exclusionAt(Instant Now) const {
-    return !IsRegistered      ? WorkerExclusion::NotRegistered
-           : !HasReported     ? WorkerExclusion::NotReported
-           : IsUnresponsive   ? WorkerExclusion::Unresponsive
-           : IsCordoned       ? WorkerExclusion::Cordoned
-           : Record.Draining  ? WorkerExclusion::Draining
-           : Now < AvoidUntil ? WorkerExclusion::Avoided
-                              : WorkerExclusion::None;
+    return !IsRegistered                ? WorkerExclusion::NotRegistered
+           : !HasReported               ? WorkerExclusion::NotReported
+           : IsUnresponsive             ? WorkerExclusion::Unresponsive
+           : HostCordon != Cordon::None ? WorkerExclusion::Cordoned
+           : Record.Draining            ? WorkerExclusion::Draining
+           : Now < AvoidUntil           ? WorkerExclusion::Avoided
+                                        : WorkerExclusion::None;
   }
   /// Whether new work may be placed on the worker.
   bool isUsable(Instant Now) const {
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -545,7 +545,6 @@
   // The host is back with a new incarnation of the worker.
   Sim.Workers[0].crash(Sim.Time.now(), Sim.Observed);
   Sim.Workers[0].IsDown = false;
-  Sim.JobDispatcher->setCordoned("w0", false);
   Sim.submit("a", simpleJob(1));
   Sim.run(500ms);
   BOOST_TEST(Sim.countStarts("a") == 1);
@@ -828,7 +827,7 @@
   const Duration Begin = processorTime();
   for (int Pass = 0; Pass < Passes; ++Pass) {
     Sim.Time.advance(8ms);
-    Sim.JobDispatcher->setCordoned("w0", false); // a pass is due
+    Sim.JobDispatcher->updateWorkers({}); // a pass is due
     Sim.JobDispatcher->tick(true, true);
   }
   BOOST_TEST_MESSAGE("a pass takes "
@@ -916,9 +915,11 @@
   Sim.run(500ms);
   BOOST_TEST(Sim.Log.Kept.empty());
   FakeWorker &Worker = workerOfFirstRun(Sim);
-  for (FakeWorker &Other : Sim.Workers) {
-    Sim.JobDispatcher->setCordoned(Other.Record.Instance.Id, true);
+  std::map<std::string, Cordon> Cordons;
+  for (const FakeWorker &Each : Sim.Workers) {
+    Cordons[Each.Record.Instance.Id] = Cordon::Draining;
   }
+  Sim.JobDispatcher->setCordons(Cordons);
   Worker.crash(Sim.Time.now(), Sim.Observed);
   Sim.run(5s);
   BOOST_REQUIRE(!Sim.Log.Kept.empty());
@@ -930,3 +931,17 @@
   BOOST_TEST(Line.at("cordoned").as_uint64() == 3);
   BOOST_TEST(Line.at("usable").as_uint64() == 0);
 }
+
+BOOST_AUTO_TEST_CASE(AReplyFromBeforeAHostOrderBringsNoWorkerBack) {
+  Simulation Sim(1);
+  Sim.run(500ms);
+  const Instant SentAt = Sim.Time.now();
+  Sim.run(100ms);
+  Sim.Workers[0].IsDown = true;
+  Sim.JobDispatcher->handleHostGone("w0");
+  RenewReport Report;
+  Report.Incarnation = Sim.Workers[0].Record.Instance.Incarnation;
+  Sim.JobDispatcher->handleRenewReply("w0", SentAt, OrderOutcome::Done, Report);
+  Sim.run(5ms); // registers the worker again
+  BOOST_TEST(!Sim.JobDispatcher->workers().at("w0").isUsable(Sim.Time.now()));
+}
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -74,6 +74,22 @@
     return Orders;
   }
 
+  /// The worker's process ends; the host list shows it.
+  void crashWorker(std::size_t Index) {
+    Sim.Workers[Index].endAll(Sim.Time.now(), Sim.Observed);
+    Sim.Workers[Index].HasCrashed = true;
+    Hosts[Index].Status = HostStatus::Down;
+    Hosts[Index].WorkerId.clear();
+    publishHosts();
+  }
+  /// The worker is back under its ID.
+  void restartWorker(std::size_t Index) {
+    Sim.Workers[Index].crash(Sim.Time.now(), Sim.Observed);
+    Hosts[Index].Status = HostStatus::Up;
+    Hosts[Index].WorkerId = Sim.Workers[Index].Record.Instance.Id;
+    publishHosts();
+  }
+
   Simulation Sim;
   HostScheduler Scheduler;
   std::vector<HostRecord> Hosts;
@@ -285,10 +301,29 @@
   Fleet.publishHosts();
   Fleet.Scheduler.addWave(waveOf({Fleet.Hosts[0]}, 1));
   BOOST_TEST(Fleet.decide().empty());
-  BOOST_TEST(Fleet.Sim.JobDispatcher->workers().at("w0").IsCordoned);
+  BOOST_TEST((Fleet.Sim.JobDispatcher->workers().at("w0").HostCordon ==
+              Cordon::Draining));
   Fleet.Sim.run(8s);
   BOOST_TEST(Fleet.decide().empty());
-  BOOST_TEST(!Fleet.Sim.JobDispatcher->workers().at("w0").IsCordoned);
+  BOOST_TEST(
+      (Fleet.Sim.JobDispatcher->workers().at("w0").HostCordon == Cordon::None));
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatRestartsDuringAHostOrderIsUsedAgain) {
+  FleetFixture Fleet(1);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  Fleet.Sim.run(100ms);
+  const std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  // The order gets lost, and the worker crashes before the next list.
+  Fleet.Scheduler.handleReply(Orders.front(), false);
+  Fleet.crashWorker(0);
+  Fleet.Sim.run(2s);
+  Fleet.restartWorker(0);
+  Fleet.Sim.submit("a", simpleJob(1));
+  Fleet.Sim.run(5s);
+  BOOST_TEST(Fleet.Sim.countStarts("a") == 1);
 }
 
 BOOST_AUTO_TEST_CASE(HostsMoveToThePoolWithDemand) {
@@ -468,3 +503,39 @@
   Sim.Config->Queues.front().Terms.Priority = 0;
   BOOST_TEST(countStopped(checkpointingJob(20)) == 0U);
 }
+
+BOOST_FIXTURE_TEST_CASE(AWorkerThatRestartsDuringADrainForAMoveIsUsedAgain,
+                        TwoQueueFixture) {
+  Sim.submit("filling", simpleJob(20));
+  Sim.run(500ms);
+  publishHosts();
+  Sim.submit("urgent", simpleJob(24), UrgentQueue);
+  Sim.run(100ms);
+  decide();
+  std::vector<std::size_t> Draining;
+  for (std::size_t Index = 0; Index < Hosts.size(); ++Index) {
+    if (Sim.JobDispatcher->workers().at(Hosts[Index].WorkerId).HostCordon ==
+        Cordon::Draining) {
+      Draining.push_back(Index);
+    }
+  }
+  BOOST_REQUIRE(!Draining.empty());
+  for (const std::size_t Index : Draining) {
+    crashWorker(Index);
+  }
+  // The demand that the hosts were to move for is gone when they are back.
+  Sim.cancel("urgent");
+  Sim.run(PoolPlannerOptions().DemandWindow + 500ms);
+  decide();
+  for (const std::size_t Index : Draining) {
+    restartWorker(Index);
+  }
+  Sim.run(1s);
+  decide();
+  for (const std::size_t Index : Draining) {
+    BOOST_TEST(
+        (Sim.JobDispatcher->workers().at(Hosts[Index].WorkerId).HostCordon !=
+         Cordon::Draining),
+        Hosts[Index].WorkerId << " gets no work any more");
+  }
+}
