dispatch: Waiting persistent tasks may use workers that other work is kept from

A persistent task waited although workers of its pool had room. They were left out for reasons of other work: their hosts drained for a move or a wave, they were kept free for tasks that may crash their workers, or they were avoided for up to 16 s after their last failure, which outlives the disruption. The rest of the pool is often full, and a step allows one task a worker.

Now a task of a persistent step that has been unplaced for 1 s may go to these as the last resort: workers whose hosts drain, which ends a drain for a move, reserved ones, and avoided ones 2 s after their last failure. Workers with an open host order, leaving ones and those out of reach stay out.

Tests: PersistentTasksRunSoonAfterTheirWorkersStopFailing (7 s after 20 s of failures none of three ran) and APersistentTaskRunsOnADrainingWorkerIfNoOtherHasRoom (0 starts instead of 1) failed on. Persistent tasks on failing workers now fail in the simulation, too.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -277,6 +277,8 @@
   Worker.ConsecutiveFailures = 0;
   Worker.AvoidanceDoublings = 0;
   Worker.AvoidUntil = {};
+  Worker.FailingUntil = {};
+  Worker.LastFailureAt = {};
 }
 
 void Dispatcher::handleRecorded(const std::vector<JobEvent> &RecordedEvents) {
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -42,6 +42,8 @@
   Resources LargestFree;
   /// Claims that no worker had room for.
   std::vector<Resources> RefusedClaims;
+  /// Other work is kept from some of the workers.
+  bool IsLastResort = false;
 
   void add(WorkerState &Worker) {
     const Resources Free = Worker.freeResources();
@@ -73,11 +75,15 @@
 /// adds at most 1, and each run of a long-running task adds 1.
 constexpr double PreferredRackBonus = 100;
 constexpr double FailedOnWorkerPenalty = 1000;
+constexpr double AvoidedWorkerPenalty = 500;
 /// For each run that the crash of a suspect would end.
 constexpr double CrashSuspectPenalty = 10;
 /// Tasks that stay unplaced longer than this count as a need for more hosts.
 /// Before that, the pool sizes already follow the demand.
 constexpr Duration UnplacedDelay = std::chrono::milliseconds(500);
+/// Long-running tasks that stay unplaced longer than this may use workers as
+/// the last resort.
+constexpr Duration LastResortDelay = std::chrono::seconds(1);
 /// Maximum number of workers in a query; enough for a step of usual width.
 constexpr std::size_t WorkersPerQuery = 30;
 /// A permit must stay valid until the worker receives the start: this covers
@@ -192,6 +198,7 @@
     return;
   }
   WorkersByPool UsableByPool;
+  WorkersByPool LastResortByPool;
   for (auto &[Id, Worker] : Workers) {
     if (Worker.isUsable(Now)) {
       UsableByPool[Worker.Record.Pool].add(Worker);
@@ -205,20 +212,55 @@
       std::exchange(UnplacedSince, {});
   RequiredHosts.clear();
   for (const WaitingStep &Candidate : Candidates) {
-    UsableWorkers &Pool = UsableByPool[*Candidate.Pool];
-    const std::size_t UnplacedTasks = placeStep(Candidate, Pool);
-    if (UnplacedTasks > 0 && !Pool.Workers.empty()) {
-      const auto UnplacedIt = UnplacedBefore.find(stepOf(Candidate.task(0)));
-      recordUnplaced(
-          Candidate, UnplacedTasks,
-          UnplacedIt == UnplacedBefore.end() ? Now : UnplacedIt->second, Pool);
+    const auto UnplacedIt = UnplacedBefore.find(stepOf(Candidate.task(0)));
+    const Instant WaitingSince =
+        UnplacedIt == UnplacedBefore.end() ? Now : UnplacedIt->second;
+    const std::size_t UnplacedTasks = placeWaitingTasks(
+        Candidate, UsableByPool, LastResortByPool, Now - WaitingSince, Now);
+    if (UnplacedTasks > 0) {
+      UnplacedSince[stepOf(Candidate.task(0))] = WaitingSince;
+      recordUnplaced(Candidate, UnplacedTasks, WaitingSince,
+                     UsableByPool[*Candidate.Pool]);
     }
   }
   if (Now >= NextQueryAt) {
+    // A last resort includes the usable workers.
+    for (auto &[Name, Pool] : LastResortByPool) {
+      UsableByPool[Name] = std::move(Pool);
+    }
     queryPermits(Candidates, UsableByPool, Now);
   }
 }
 
+std::size_t Dispatcher::placeWaitingTasks(const WaitingStep &Candidate,
+                                          WorkersByPool &UsableByPool,
+                                          WorkersByPool &LastResortByPool,
+                                          Duration WaitingTime, Instant Now) {
+  const std::size_t UnplacedTasks =
+      placeStep(Candidate, UsableByPool[*Candidate.Pool]);
+  if (UnplacedTasks == 0 || !Candidate.spec().LongRunning ||
+      WaitingTime < LastResortDelay) {
+    return UnplacedTasks;
+  }
+  const auto [PoolIt, IsNew] = LastResortByPool.try_emplace(*Candidate.Pool);
+  if (IsNew) {
+    PoolIt->second = findLastResort(*Candidate.Pool, Now);
+  }
+  return placeStep(Candidate, PoolIt->second);
+}
+
+Dispatcher::UsableWorkers Dispatcher::findLastResort(const PoolName &Pool,
+                                                     Instant Now) {
+  UsableWorkers LastResort;
+  LastResort.IsLastResort = true;
+  for (auto &[Id, Worker] : Workers) {
+    if (Worker.Record.Pool == Pool && Worker.isLastResort(Now)) {
+      LastResort.add(Worker);
+    }
+  }
+  return LastResort;
+}
+
 std::vector<unsigned>
 Dispatcher::waitingTasks(const WaitingStep &Candidate) const {
   std::vector<unsigned> TaskIndexes;
@@ -282,8 +324,7 @@
 void Dispatcher::recordUnplaced(const WaitingStep &Candidate,
                                 std::size_t UnplacedTasks, Instant WaitingSince,
                                 const UsableWorkers &Pool) {
-  UnplacedSince[stepOf(Candidate.task(0))] = WaitingSince;
-  if (Time.now() - WaitingSince < UnplacedDelay) {
+  if (Pool.Workers.empty() || Time.now() - WaitingSince < UnplacedDelay) {
     return;
   }
   const Resources &HostCapacity = Pool.Workers.front()->Record.Capacity;
@@ -439,7 +480,8 @@
   const bool IsIsolated = mustIsolate(Candidate, Index);
   const TaskRecord *Record = Candidate.record(Index);
   const bool IsSuspect = Record != nullptr && Record->IsCrashSuspect;
-  const Instant PermitUntil = Time.now() + PermitMargin;
+  const Instant Now = Time.now();
+  const Instant PermitUntil = Now + PermitMargin;
   WorkerChoice Best;
   double BestScore = 0;
   for (WorkerState *Worker : Pool.Workers) {
@@ -447,7 +489,8 @@
       continue;
     }
     Best.HasRoom = true;
-    if (!canTake(*Worker, Step, Task) || (Worker->IsReserved && !IsIsolated) ||
+    if (!canTake(*Worker, Step, Task) ||
+        (Worker->IsReserved && !IsIsolated && !Pool.IsLastResort) ||
         (Candidate.Terms->Policy &&
          Permits.findTicket(stepOf(Task), Worker->Record.Instance,
                             PermitUntil) == nullptr) ||
@@ -455,6 +498,9 @@
       continue;
     }
     double Score = scoreWorker(*Worker, Step);
+    if (Worker->exclusionAt(Now) == WorkerExclusion::Avoided) {
+      Score -= AvoidedWorkerPenalty;
+    }
     if (IsSuspect) {
       Score -= CrashSuspectPenalty * static_cast<double>(Worker->Runs.size());
     }
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -188,6 +188,7 @@
     return;
   }
   LastFailedWorker[Task] = Worker.Record.Instance.Id;
+  Worker.LastFailureAt = Time.now();
   const bool IsOtherJob = Worker.LastFailedJob != Task.Job;
   Worker.LastFailedJob = Task.Job;
   Worker.ConsecutiveFailures +=
@@ -195,7 +196,7 @@
   if (Worker.ConsecutiveFailures < AvoidanceThreshold) {
     return;
   }
-  Worker.AvoidUntil =
+  Worker.FailingUntil =
       Time.now() + InitialAvoidance * (1U << Worker.AvoidanceDoublings);
   Worker.AvoidanceDoublings =
       std::min(Worker.AvoidanceDoublings + 1, MaxAvoidanceDoublings);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -259,6 +259,14 @@
                           std::vector<WaitingStep> &Candidates) const;
   /// Indexes of the tasks that wait for a worker.
   std::vector<unsigned> waitingTasks(const WaitingStep &Candidate) const;
+  /// Places waiting tasks of the step and returns the number of those left.
+  std::size_t placeWaitingTasks(const WaitingStep &Candidate,
+                                WorkersByPool &UsableByPool,
+                                WorkersByPool &LastResortByPool,
+                                Duration WaitingTime, Instant Now);
+  /// The workers of the pool that a long-running task may use as the last
+  /// resort.
+  UsableWorkers findLastResort(const PoolName &Pool, Instant Now);
   /// These two return the number of tasks that no worker could take.
   std::size_t placeStep(const WaitingStep &Candidate, UsableWorkers &Pool);
   std::size_t placeGang(const WaitingStep &Candidate,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -40,6 +40,9 @@
 /// Delay before the next renewal after one without a reply.
 inline constexpr Duration UnresponsiveRenewalPeriod =
     std::chrono::milliseconds(250);
+/// Time from a failure on a worker that fails run after run to the next
+/// long-running task that it may be given as the last resort.
+inline constexpr Duration FailureProbeDelay = std::chrono::seconds(2);
 /// Renewals in a row that are repeated with no more than that patience.
 inline constexpr unsigned MaxQuickRenewals = 2;
 
@@ -165,8 +168,12 @@
   std::uint64_t LastEndInBatch = 0;
   /// Highest sequence number of an end that is recorded.
   std::uint64_t LastRecordedEnd = 0;
-  /// The worker gets no new work before this time.
+  /// The worker gets no new work before this time, since it refused a run.
   Instant AvoidUntil{};
+  /// The worker gets no new work before this time, since runs on it have failed
+  /// one after another; and when the last one did.
+  Instant FailingUntil{};
+  Instant LastFailureAt{};
   /// Failed runs since the last success, where consecutive failures of one job
   /// count once; and the job of the last failure.
   unsigned ConsecutiveFailures = 0;
@@ -233,13 +240,29 @@
            : IsUnresponsive             ? WorkerExclusion::Unresponsive
            : HostCordon != Cordon::None ? WorkerExclusion::Cordoned
            : Record.Draining            ? WorkerExclusion::Draining
-           : Now < AvoidUntil           ? WorkerExclusion::Avoided
-                                        : WorkerExclusion::None;
+           : Now < std::max(AvoidUntil, FailingUntil) ? WorkerExclusion::Avoided
+                                                      : WorkerExclusion::None;
   }
   /// Whether new work may be placed on the worker.
   bool isUsable(Instant Now) const {
     return exclusionAt(Now) == WorkerExclusion::None;
   }
+  /// Whether a long-running task that no usable worker can take may be placed
+  /// on the worker: also while it drains for its host, which then stays in
+  /// service, and to find out whether runs on it still fail.
+  bool isLastResort(Instant Now) const {
+    switch (exclusionAt(Now)) {
+    case WorkerExclusion::None:
+      return true;
+    case WorkerExclusion::Cordoned:
+      return HostCordon == Cordon::Draining && !Record.Draining &&
+             Now >= std::max(AvoidUntil, LastFailureAt + FailureProbeDelay);
+    case WorkerExclusion::Avoided:
+      return Now >= std::max(AvoidUntil, LastFailureAt + FailureProbeDelay);
+    default:
+      return false;
+    }
+  }
 };
 
 using WorkerTable = std::map<std::string, WorkerState>;
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -5,6 +5,7 @@
 #define BOOST_TEST_MODULE Dispatcher
 #include "Simulation.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 using namespace balsamlatch;
@@ -917,7 +918,7 @@
   FakeWorker &Worker = workerOfFirstRun(Sim);
   std::map<std::string, Cordon> Cordons;
   for (const FakeWorker &Each : Sim.Workers) {
-    Cordons[Each.Record.Instance.Id] = Cordon::Draining;
+    Cordons[Each.Record.Instance.Id] = Cordon::OrderPending;
   }
   Sim.JobDispatcher->setCordons(Cordons);
   Worker.crash(Sim.Time.now(), Sim.Observed);
@@ -945,3 +946,47 @@
   Sim.run(5ms); // registers the worker again
   BOOST_TEST(!Sim.JobDispatcher->workers().at("w0").isUsable(Sim.Time.now()));
 }
+
+BOOST_AUTO_TEST_CASE(APersistentTaskRunsOnADrainingWorkerIfNoOtherHasRoom) {
+  Simulation Sim(2);
+  Sim.Workers[0].RunDuration = Sim.Workers[1].RunDuration = 60s;
+  Sim.submit("filling", simpleJob(4));
+  Sim.run(500ms);
+  BOOST_REQUIRE(Sim.countStarts("filling") == 4);
+  const std::string Vacant =
+      Sim.Observed.Runs.front().Worker == "w0" ? "w1" : "w0";
+  Sim.JobDispatcher->setCordons({{Vacant, Cordon::Draining}});
+  Sim.submit("waiting", simpleJob(1));
+  Sim.submit("a", longRunningJob(1));
+  Sim.run(3s);
+  BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST(Sim.countStarts("waiting") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(NoTaskRunsOnAWorkerWhoseHostHasAnOpenOrder) {
+  Simulation Sim(1);
+  Sim.run(500ms);
+  Sim.JobDispatcher->setCordons({{"w0", Cordon::OrderPending}});
+  Sim.submit("a", longRunningJob(1));
+  Sim.run(5s);
+  BOOST_TEST(Sim.countStarts("a") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(PersistentTasksRunSoonAfterTheirWorkersStopFailing) {
+  Simulation Sim(1);
+  for (const char *Id : {"a", "b", "c"}) {
+    Sim.submit(Id, longRunningJob(1));
+  }
+  Sim.Workers[0].FailsAll = true;
+  Sim.run(20s);
+  Sim.Workers[0].FailsAll = false;
+  Sim.run(7s);
+  for (const char *Id : {"a", "b", "c"}) {
+    const auto IsRunning = [&](const RunTrace &Run) {
+      return Run.Task.Job.Text == Id && Run.EndedAt == Instant::max();
+    };
+    BOOST_TEST(std::any_of(Sim.Observed.Runs.begin(), Sim.Observed.Runs.end(),
+                           IsRunning),
+               Id << " doesn't run");
+  }
+}
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -161,8 +161,8 @@
   }
   for (auto RunIt = Runs.begin(); RunIt != Runs.end();) {
     const ActiveRun &Run = RunIt->second;
-    const bool HasEnded =
-        !Run.LongRunning && !Hangs && Now - Run.StartedAt >= RunDuration;
+    const bool HasEnded = (!Run.LongRunning || FailsAll) && !Hangs &&
+                          Now - Run.StartedAt >= RunDuration;
     const bool LeaseExpired = clock(Now) >= Run.LeaseUntil;
     const bool IsStopped = Run.StopsAt && Now >= *Run.StopsAt;
     if (!HasEnded && !LeaseExpired && !IsStopped) {
