dispatch: Orders of an earlier leader count as interruptions of a step

Cause: orders that an earlier leader issued just before its term ended may still be on their way. Reports show the tasks on their hosts at work, so the next leader granted as many interruptions again. Work is still placed on the workers, since most of the hosts have been moved by then.

OrdersOfAnEarlierLeaderCountAsInterruptions failed before: two hosts ordered beside two that may be ordered already, where two tasks may miss.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -298,6 +298,12 @@
   WorkerIt->second.NextRenewalAt = Time.now() + Settings.IdleRenewalPeriod;
 }
 
+void Dispatcher::setPossiblyOrdered(const std::set<std::string> &WorkerIds) {
+  for (auto &[Id, Worker] : Workers) {
+    Worker.HostMayBeOrdered = WorkerIds.contains(Id);
+  }
+}
+
 void Dispatcher::setCordons(const std::map<std::string, Cordon> &Cordons) {
   for (auto &[Id, Worker] : Workers) {
     const auto CordonIt = Cordons.find(Id);
--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -40,7 +40,7 @@
   const auto WorkerIt = JobDispatcher.workers().find(Placement.Worker.Id);
   if (WorkerIt == JobDispatcher.workers().end() ||
       WorkerIt->second.HostCordon == Cordon::OrderPending ||
-      WorkerIt->second.IsUnresponsive ||
+      WorkerIt->second.HostMayBeOrdered || WorkerIt->second.IsUnresponsive ||
       JobDispatcher.now() - WorkerIt->second.LastReportAt > MaxReportAge) {
     return nullptr;
   }
@@ -155,6 +155,17 @@
          Time.now() - TermStart < Settings.HandoverDelay;
 }
 
+std::set<std::string> HostScheduler::workersInHandover() const {
+  std::set<std::string> WorkerIds;
+  for (const HostName &Name : EarlierOrders) {
+    const HostRecord *Host = find(Name);
+    if (Host != nullptr && isInHandover(Name)) {
+      WorkerIds.insert(Host->WorkerId);
+    }
+  }
+  return WorkerIds;
+}
+
 bool HostScheduler::hasOpenWork() const {
   return !Waves.empty() || !OpenOrders.empty() || !AnsweredOrders.empty() ||
          !MovingHosts.empty();
@@ -201,6 +212,7 @@
   if (Hosts.empty() || !EarlierOrdersKnown) {
     return Decisions;
   }
+  JobDispatcher.setPossiblyOrdered(workersInHandover());
   for (auto &[Number, ActiveWave] : Waves) {
     decideWave(ActiveWave, JobDispatcher, Jobs, Decisions);
   }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -133,6 +133,8 @@
   DispatchBacklog backlog() const;
   /// Cordons these workers, by ID, and no others.
   void setCordons(const std::map<std::string, Cordon> &Cordons);
+  /// Marks these workers, by ID, and no others as HostMayBeOrdered.
+  void setPossiblyOrdered(const std::set<std::string> &WorkerIds);
   /// Stops the run of the task on the worker, so that the task is placed again.
   /// \p Reason is logged.
   void moveRun(const std::string &WorkerId, const TaskRef &Task,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -119,6 +119,7 @@
   /// Whether the earlier lease holder may have ordered the host just before the
   /// term began.
   bool isInHandover(const HostName &Name) const;
+  std::set<std::string> workersInHandover() const;
   void decideWave(Wave &ActiveWave, Dispatcher &JobDispatcher,
                   const jobs::JobTable &Jobs,
                   std::vector<HostDecision> &Decisions);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -137,6 +137,9 @@
   /// earlier renewals say nothing of it.
   Instant EndedAt{};
   Cordon HostCordon = Cordon::None;
+  /// An earlier lease holder may have ordered the host just before this term,
+  /// so all runs on the worker may end.
+  bool HostMayBeOrdered = false;
   /// Set while an isolated run has not settled, and until the next report after
   /// such a run has ended.
   bool MayHaveIsolatedRun = false;
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -133,6 +133,30 @@
   BOOST_TEST(Fleet.decide().size() == 1);
 }
 
+// The orders of the earlier leader may still be on their way, while reports
+// show all tasks at work.
+BOOST_AUTO_TEST_CASE(OrdersOfAnEarlierLeaderCountAsInterruptions) {
+  FleetFixture Fleet(6, false);
+  jobs::JobSpec Spec = longRunningJob(6);
+  Spec.Steps.front().MaxUnavailable = 2;
+  Fleet.Sim.submit("a", Spec);
+  Fleet.Sim.run(2s);
+  Fleet.Scheduler.begin();
+  Fleet.Scheduler.setRecentOrders({Fleet.Hosts[0].Name, Fleet.Hosts[1].Name});
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 6));
+  Fleet.Sim.run(100ms);
+  BOOST_TEST(Fleet.decide().empty());
+  BOOST_TEST(!findTaskToMove(Fleet.Sim.JobDispatcher->workers().at("w2"),
+                             *Fleet.Sim.JobDispatcher, Fleet.Sim.Table));
+  // Work is still placed on their workers, which may have been maintained.
+  BOOST_TEST(Fleet.Sim.JobDispatcher->workers().at("w0").isUsable(
+      Fleet.Sim.Time.now()));
+  Fleet.Sim.run(HostSchedulerOptions().HandoverDelay);
+  Fleet.publishHosts();
+  BOOST_TEST(Fleet.decide().size() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(TwoHostsOfAWaveMayBeOrderedAtOnce) {
   FleetFixture Fleet(2, false);
   Fleet.Scheduler.setRecentOrders({Fleet.Hosts[0].Name, Fleet.Hosts[1].Name});
