dispatch: Hosts whose workers take no work are replaced in their pool

Persistent tasks waited for 8 s with the pool at its size: seven of its 24 hosts had workers out of reach (a play with cut workers, tasks-delayed: 7 waiting, 17 workers that already had a task of the step, 7 unresponsive, pool 24 throughout). The pool needs 17 + 7 hosts then, and it had 24.

Hosts whose worker has been unresponsive for a second, or is avoided after failures, don't count for their pool now, as those that are down or in maintenance.

AHostWhoseWorkerIsOutOfReachIsReplacedInItsPool failed before: no move instead of one.

--- a/Source/Dispatch/HostMoves.cpp
+++ b/Source/Dispatch/HostMoves.cpp
@@ -21,11 +21,21 @@
 /// A run that has got further soon ends by itself.
 constexpr unsigned MaxPreemptedPercent = 70;
 constexpr Duration SizesLogPeriod = std::chrono::seconds(1);
+/// A worker that has been unresponsive for longer doesn't count for its pool.
+constexpr Duration MaxServiceGap = std::chrono::seconds(1);
 
 /// Occurrences due within this time count as demand now, since a move takes
 /// about as long.
 constexpr Duration DueLookahead = std::chrono::milliseconds(1700);
 
+/// Whether the worker takes no work for longer than a few replies may be lost.
+bool isOutOfService(const WorkerState *Worker, Instant Now) {
+  return Worker != nullptr && Worker->HasReported &&
+         ((Worker->IsUnresponsive &&
+           Now - Worker->LastReportAt > MaxServiceGap) ||
+          Now < Worker->FailingUntil);
+}
+
 /// Adds the demand of the tasks of a step that run or could run now.
 void addDemand(const jobs::Job &Job, unsigned Occurrence, unsigned Step,
                std::int64_t Weight, unsigned Priority, PoolDemand &Demand) {
@@ -91,8 +101,10 @@
         Waves.begin(), Waves.end(), [&, Key = Name](const auto &WaveEntry) {
           return WaveEntry.second.DrainingSince.contains(Key);
         });
+    const WorkerState *Worker = findHostWorker(Host, JobDispatcher);
     if (Host.Status == HostStatus::Down ||
-        Host.Status == HostStatus::Maintenance || DrainsForWave) {
+        Host.Status == HostStatus::Maintenance || DrainsForWave ||
+        isOutOfService(Worker, Time.now())) {
       continue; // no capacity for its pool at present
     }
     PoolHost Entry;
@@ -103,7 +115,6 @@
     if (MoveIt != MovingHosts.end()) {
       Entry.Pool = MoveIt->second.TargetPool;
     }
-    const WorkerState *Worker = findHostWorker(Host, JobDispatcher);
     Entry.IsMovable =
         Host.Status == HostStatus::Up && MoveIt == MovingHosts.end() &&
         !OpenOrders.contains(Name) && !AnsweredOrders.contains(Name) &&
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -377,6 +377,23 @@
   BOOST_TEST(FromStandby == 1); // vacant hosts outside standby come first
 }
 
+BOOST_AUTO_TEST_CASE(AHostWhoseWorkerIsOutOfReachIsReplacedInItsPool) {
+  FleetFixture Fleet(6);
+  Fleet.Sim.submit("a", longRunningJob(4));
+  Fleet.Sim.run(1s);
+  Fleet.moveToStandby(4);
+  BOOST_TEST(Fleet.decide().empty());
+  Fleet.Sim.Workers[0].IsDown =
+      true; // its runs continue, but it is unreachable
+  Fleet.Sim.run(3s);
+  Fleet.publishHosts();
+  BOOST_TEST(Fleet.decide().size() == 1);
+  // A worker that is only silent for a moment is not replaced.
+  Fleet.Sim.Workers[1].IsDown = true;
+  Fleet.Sim.run(600ms);
+  BOOST_TEST(Fleet.decide().empty());
+}
+
 BOOST_AUTO_TEST_CASE(HostsAreMovedForTheJobsThatAreAboutToCome) {
   // The load of a queue rises: the first job fills one host, and more jobs
   // arrive before a host that is moved now can run work.
