dispatch: A pool is enlarged for tasks that must be spread at once

The number of hosts for unplaced tasks counted as many tasks a host as its resources take. It now counts no more than the step allows on a worker; steps share these hosts.

TasksThatMustBeSpreadNeedAHostEach failed before: 4 hosts instead of 6.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -101,6 +101,7 @@
   UnplacedSince.clear();
   DelayedSince.clear();
   RequiredHosts.clear();
+  UnplacedByPool.clear();
   Permits.clear();
   Queries.clear();
   QueriesInFlight.clear();
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -211,6 +211,7 @@
   const std::map<StepRef, Instant> UnplacedBefore =
       std::exchange(UnplacedSince, {});
   RequiredHosts.clear();
+  UnplacedByPool.clear();
   for (const WaitingStep &Candidate : Candidates) {
     const auto UnplacedIt = UnplacedBefore.find(stepOf(Candidate.task(0)));
     const Instant WaitingSince =
@@ -333,12 +334,20 @@
     return Requested <= 0 ? std::numeric_limits<std::int64_t>::max()
                           : std::max<std::int64_t>(1, Capacity / Requested);
   };
-  const auto TasksPerHost = static_cast<std::size_t>(
+  const auto HostsFor = [UnplacedTasks](std::size_t TasksPerHost) {
+    return static_cast<unsigned>((UnplacedTasks - 1) / TasksPerHost + 1);
+  };
+  UnplacedHosts &Hosts = UnplacedByPool[*Candidate.Pool];
+  Hosts.ForResources += HostsFor(static_cast<std::size_t>(
       std::min(FitCount(Claim.CpuMilli, HostCapacity.CpuMilli),
-               FitCount(Claim.MemoryMb, HostCapacity.MemoryMb)));
-  unsigned &PoolHosts = RequiredHosts[*Candidate.Pool];
-  PoolHosts = std::max(PoolHosts, static_cast<unsigned>(Pool.Workers.size())) +
-              static_cast<unsigned>((UnplacedTasks - 1) / TasksPerHost + 1);
+               FitCount(Claim.MemoryMb, HostCapacity.MemoryMb))));
+  if (Candidate.spec().MaxPerWorker > 0) {
+    Hosts.ForSpread =
+        std::max(Hosts.ForSpread, HostsFor(Candidate.spec().MaxPerWorker));
+  }
+  RequiredHosts[*Candidate.Pool] =
+      static_cast<unsigned>(Pool.Workers.size()) +
+      std::max(Hosts.ForResources, Hosts.ForSpread);
 }
 
 std::size_t Dispatcher::placeStep(const WaitingStep &Candidate,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -279,6 +279,14 @@
   chooseGangWorkers(const WaitingStep &Candidate,
                     const std::vector<unsigned> &TaskIndexes,
                     const UsableWorkers &Pool);
+  /// Hosts that a pool lacks for its unplaced tasks.
+  struct UnplacedHosts {
+    /// For the resources of all steps.
+    unsigned ForResources = 0;
+    /// For the step that needs the most, since one worker takes only so many of
+    /// its tasks. Steps share these hosts.
+    unsigned ForSpread = 0;
+  };
   /// Updates RequiredHosts for a step with unplaced tasks.
   void recordUnplaced(const WaitingStep &Candidate, std::size_t UnplacedTasks,
                       Instant WaitingSince, const UsableWorkers &Pool);
@@ -355,6 +363,7 @@
   // When steps were first found to have tasks that no usable worker can take.
   std::map<StepRef, Instant> UnplacedSince;
   std::map<PoolName, unsigned> RequiredHosts;
+  std::map<PoolName, UnplacedHosts> UnplacedByPool;
   // When tasks of long-running steps were first found not to run.
   std::map<TaskRef, Instant> DelayedSince;
   PermitCache Permits;
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -808,6 +808,15 @@
   BOOST_TEST(Sim.JobDispatcher->requiredHosts().begin()->second == 4);
 }
 
+BOOST_AUTO_TEST_CASE(TasksThatMustBeSpreadNeedAHostEach) {
+  Simulation Sim(2);
+  Sim.submit("a", longRunningJob(6));
+  Sim.submit("b", longRunningJob(5)); // may share the hosts of the first job
+  Sim.run(2s);
+  BOOST_REQUIRE(Sim.JobDispatcher->requiredHosts().size() == 1);
+  BOOST_TEST(Sim.JobDispatcher->requiredHosts().begin()->second == 6);
+}
+
 // A leader with a backlog for a full pool spent its processor time on searches
 // for room, and fell further behind.
 BOOST_AUTO_TEST_CASE(PlanningForAFullPoolTakesLittleTime) {
