control: A carrier that was stopping is used again after its restart

An entry that had told the leader that it was stopping was no carrier any more for the rest of the leader's term, also after its restart. Once all other entries had been restarted during a term, the leader sent all orders itself.

Cause: such a carrier stayed Ready and IsLeaving after its last reply. It got no further call, so its new process could not answer OtherProcess, and its registration is the same after the restart, so setEntries() saw no change. Now tick() stops using a stopping carrier that has no open order or call, and greets it again after the usual backoff. CarrierLoad counts only carriers that take orders.

ACarrierThatWasStoppingIsGreetedAgain fails without the change (no call instead of 1).

--- a/Source/Control/CarrierPool.cpp
+++ b/Source/Control/CarrierPool.cpp
@@ -20,7 +20,8 @@
 constexpr std::size_t MinWorkersForCarriers = 128;
 constexpr std::size_t WorkersPerCarrier = 128;
 constexpr std::size_t MaxCarriers = 16;
-/// Time for which an entry isn't used after a failed call.
+/// Time for which an entry isn't used after a failed call, or once it has
+/// stopped.
 constexpr Duration FailureBackoff = std::chrono::seconds(3);
 /// Time for which orders to a worker are sent directly after a carried one got
 /// no reply.
@@ -442,6 +443,14 @@
   }
   std::erase_if(DirectUntil,
                 [Now](const auto &Entry) { return Now >= Entry.second; });
+  for (auto &[Name, Each] : Carriers) {
+    if (Each.IsLeaving && Each.Queue.empty() && Each.OpenOrders == 0 &&
+        Each.OpenCalls == 0) {
+      // Its next process may have the same registration.
+      reset(Each);
+      Each.BackoffUntil = Now + FailureBackoff;
+    }
+  }
   greetCandidates();
   for (const OpenOrder &Each : Unanswered) {
     // An order that is still queued was not sent and won't be.
@@ -454,7 +463,8 @@
 CarrierLoad CarrierPool::takeLoad() {
   Load.Carriers = static_cast<std::size_t>(
       std::count_if(Carriers.begin(), Carriers.end(), [](const auto &Each) {
-        return Each.second.Phase == CarrierPhase::Ready;
+        return Each.second.Phase == CarrierPhase::Ready &&
+               !Each.second.IsLeaving;
       }));
   return std::exchange(Load, {});
 }
--- a/Source/Control/include/balsamlatch/Control/CarrierPool.h
+++ b/Source/Control/include/balsamlatch/Control/CarrierPool.h
@@ -36,6 +36,7 @@
 
 /// Calls since the last report.
 struct CarrierLoad {
+  /// Carriers that take orders at the time of the report.
   std::size_t Carriers = 0;
   std::size_t Calls = 0;
   std::size_t CarriedOrders = 0;
@@ -77,7 +78,7 @@
   void handleFailure(std::uint64_t CallNumber, bool WasNotSent,
                      std::string_view Reason);
   /// Ends the orders without a reply in time, and chooses new carriers in
-  /// place of lost ones. Call every 50 ms or so during a term.
+  /// place of lost and stopped ones. Call every 50 ms or so during a term.
   void tick();
 
   /// Returns the load since the last call.
--- a/Tests/Control/CarrierTest.cpp
+++ b/Tests/Control/CarrierTest.cpp
@@ -381,6 +381,24 @@
   BOOST_TEST((Outcomes == std::vector{OrderOutcome::Done}));
 }
 
+// A carrier that had said that it was stopping was never used again, so that
+// the leader had none left once all entries had been restarted.
+BOOST_FIXTURE_TEST_CASE(ACarrierThatWasStoppingIsGreetedAgain, PoolFixture) {
+  start("w1");
+  const CarrierCall Call = takeCall();
+  ReplyBatch Leaving = reply({{1, OrderOutcome::Done, {}}});
+  Leaving.IsLeaving = true;
+  Pool.handleReplies(Call.Number, Leaving);
+  Pool.tick();
+  BOOST_TEST(Pool.takeCalls().empty()); // it is still stopping
+  Time.advance(4s);
+  Pool.tick();
+  Pool.handleReplies(takeCall().Number, reply({}));
+  start("w2");
+  BOOST_TEST(Direct.Orders.empty());
+  takeCall();
+}
+
 BOOST_FIXTURE_TEST_CASE(ARestartedCarrierIsGreetedAgain, PoolFixture) {
   start("w");
   const CarrierCall Call = takeCall();
