dispatch: A lost maintenance order is repeated until the maintenance is proved

Cause: settleOrders() took any change of the host for the effect of an order without a reply. "Down", or another worker, shows a crash just as well. A host counts as done now once the platform has accepted an order for this wave, or the list shows it in maintenance after the order, and no other wave still needs it. Until then the order is repeated, before any other one; the platform accepts it without effect if the host is done.

An order without a reply may also be carried out late. For 12 s its host counts against the wave's limit, also when it is down, and the long-running tasks on its worker as unavailable for other orders. In a handover the hosts with recent orders count for its length, and those with an order without a reply, which are stored with the wave's progress (field "unconfirmed", optional), for 12 s of the new term. The list of done hosts keeps its form.

Ruled out: only accepted orders as proof, which drains the new worker of each host whose reply was lost; "in maintenance" as proof in all cases, since a late order of an overlapping wave shows the same.

--- a/Source/Control/HostController.cpp
+++ b/Source/Control/HostController.cpp
@@ -55,20 +55,37 @@
 struct WaveProgress {
   WallTime FirstSeen{};
   std::vector<HostName> CompletedHosts;
+  std::vector<HostName> UnconfirmedHosts;
 };
 
 std::string progressKey(std::uint64_t Wave) {
   return fmt::format("{}{}", HostController::ProgressPrefix, Wave);
 }
 
-std::string encodeProgress(const WaveProgress &Progress) {
+json::array encodeNames(const std::vector<HostName> &Hosts) {
   json::array Names;
-  for (const HostName &Name : Progress.CompletedHosts) {
+  for (const HostName &Name : Hosts) {
     Names.emplace_back(Name.Text);
   }
-  return json::serialize(
-      json::object{{"since_us", Progress.FirstSeen.time_since_epoch().count()},
-                   {"done", std::move(Names)}});
+  return Names;
+}
+
+std::vector<HostName> decodeNames(const json::value &Document) {
+  std::vector<HostName> Hosts;
+  for (const json::value &Name : Document.as_array()) {
+    Hosts.emplace_back(std::string(Name.as_string()));
+  }
+  return Hosts;
+}
+
+std::string encodeProgress(const WaveProgress &Progress) {
+  json::object Fields{
+      {"since_us", Progress.FirstSeen.time_since_epoch().count()},
+      {"done", encodeNames(Progress.CompletedHosts)}};
+  if (!Progress.UnconfirmedHosts.empty()) {
+    Fields["unconfirmed"] = encodeNames(Progress.UnconfirmedHosts);
+  }
+  return json::serialize(Fields);
 }
 
 absl::StatusOr<WaveProgress> decodeProgress(const std::string &Text) {
@@ -78,8 +95,10 @@
     WaveProgress Progress;
     Progress.FirstSeen =
         WallTime(Duration(Fields.at("since_us").to_number<std::int64_t>()));
-    for (const json::value &Name : Fields.at("done").as_array()) {
-      Progress.CompletedHosts.emplace_back(std::string(Name.as_string()));
+    Progress.CompletedHosts = decodeNames(Fields.at("done"));
+    // Earlier versions don't write it.
+    if (const json::value *Names = Fields.if_contains("unconfirmed")) {
+      Progress.UnconfirmedHosts = decodeNames(*Names);
     }
     return Progress;
   } catch (const std::exception &Error) {
@@ -202,13 +221,13 @@
   WallTime &FirstSeen =
       WaveFirstSeen.try_emplace(Wave.Number, Time.wallNow()).first->second;
   const auto StoredProgress = StoredValues.find(progressKey(Wave.Number));
-  std::vector<HostName> CompletedHosts;
+  WaveProgress Earlier;
   if (StoredProgress != StoredValues.end()) {
     absl::StatusOr<WaveProgress> Progress =
         decodeProgress(StoredProgress->second);
     if (Progress.ok()) {
       FirstSeen = std::min(FirstSeen, Progress->FirstSeen);
-      CompletedHosts = std::move(Progress->CompletedHosts);
+      Earlier = *std::move(Progress);
     } else {
       // Hosts that are already done are ordered again; the platform accepts
       // such orders without effect.
@@ -218,7 +237,8 @@
     }
   }
   Scheduler.addWave(Wave, Time.wallNow() - FirstSeen);
-  Scheduler.addDoneHosts(Wave.Number, CompletedHosts);
+  Scheduler.addDoneHosts(Wave.Number, Earlier.CompletedHosts);
+  Scheduler.addUnconfirmedHosts(Wave.Number, Earlier.UnconfirmedHosts);
   reportWave(Wave.Number, false);
 }
 
@@ -378,7 +398,8 @@
     if (Scheduler.hasWave(Wave.Number)) {
       writeIfChanged(progressKey(Wave.Number),
                      encodeProgress({WaveFirstSeen[Wave.Number],
-                                     Scheduler.doneHosts(Wave.Number)}));
+                                     Scheduler.doneHosts(Wave.Number),
+                                     Scheduler.unconfirmedHosts(Wave.Number)}));
     }
   }
 }
--- a/Source/Control/include/balsamlatch/Control/HostController.h
+++ b/Source/Control/include/balsamlatch/Control/HostController.h
@@ -18,7 +18,8 @@
     std::function<std::string(bool IsCompleted)> Value;
   };
 
-  /// Prefix of the keys that hold each wave's completed hosts.
+  /// Prefix of the keys that hold each wave's completed hosts, and those with
+  /// an order without a reply.
   static constexpr std::string_view ProgressPrefix = "fleet/wave/";
   /// Key of the hosts with recent orders. It is written before the orders are
   /// sent, under the condition that this process still leads.
--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -1,12 +1,12 @@
 /// \file
-/// Maintenance waves: which host is drained and ordered next, and the effect of
-/// replies and host lists on open orders.
+/// Maintenance waves: which host is drained and ordered next.
 
 #include "balsamlatch/Dispatch/HostScheduler.h"
 
 #include "HostWorkers.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace balsamlatch::dispatch {
 
@@ -93,13 +93,15 @@
 bool canInterrupt(const WorkerState &Worker, const Dispatcher &JobDispatcher,
                   const jobs::JobTable &Jobs) {
   // Tasks at work on this worker, by step. Tasks that aren't known to be at
-  // work already count as unavailable.
+  // work, and those that an issued order may end, already count as unavailable.
+  const bool HasPendingOrder = Worker.HostCordon == Cordon::OrderPending;
   std::map<StepRef, unsigned> InterruptedByStep;
   for (const auto &[Task, Run] : Worker.Runs) {
     const jobs::Job *Job = Jobs.find(Task.Job);
     if (Job != nullptr && Job->isOpen() && Run.LongRunning &&
         mayBeAtWork(Run) && Job->spec().Steps[Task.Step].MaxUnavailable > 0) {
-      InterruptedByStep[stepOf(Task)] += isAtWork(Run) ? 1 : 0;
+      InterruptedByStep[stepOf(Task)] +=
+          isAtWork(Run) && !HasPendingOrder ? 1 : 0;
     }
   }
   return std::all_of(
@@ -224,6 +226,13 @@
       AddDraining(Name);
     }
   }
+  for (const auto &[Number, ActiveWave] : Waves) {
+    for (const auto &[Name, Order] : ActiveWave.UnconfirmedOrders) {
+      if (!Order.WorkerId.empty() && isUnconfirmed(ActiveWave, Name)) {
+        Cordons[Order.WorkerId] = Cordon::OrderPending;
+      }
+    }
+  }
   for (const auto &[Name, Order] : OpenOrders) {
     Cordons[Order.WorkerId] = Cordon::OrderPending;
   }
@@ -233,33 +242,6 @@
   return Cordons;
 }
 
-void HostScheduler::issueOrder(HostOrder Order, Dispatcher &JobDispatcher,
-                               std::vector<HostDecision> &Decisions) {
-  OpenOrders[Order.Host] = Order;
-  OrderedAt[Order.Host] = Time.now();
-  // The next order must count the tasks on this worker as unavailable.
-  JobDispatcher.setCordons(cordons());
-  Decisions.emplace_back(std::move(Order));
-}
-
-unsigned HostScheduler::countAway(const Wave &ActiveWave) const {
-  const Instant Now = Time.now();
-  unsigned Count = 0;
-  for (const HostName &Name : ActiveWave.Request.Hosts) {
-    const HostRecord *Host = find(Name);
-    const auto AwayIt = ActiveWave.AwaySince.find(Name);
-    const bool IsRecentlyOrdered =
-        AwayIt != ActiveWave.AwaySince.end() &&
-        Now - AwayIt->second < Settings.MaintenanceTime + ReturnMargin;
-    const bool IsInMaintenance =
-        Host != nullptr && Host->Status == HostStatus::Maintenance;
-    const bool HasOpenOrder =
-        OpenOrders.contains(Name) || AnsweredOrders.contains(Name);
-    Count += HasOpenOrder || IsRecentlyOrdered || IsInMaintenance ? 1 : 0;
-  }
-  return Count;
-}
-
 unsigned HostScheduler::desiredDrains(const Wave &ActiveWave,
                                       std::size_t HostsLeft) const {
   const Duration PlannedTime =
@@ -283,9 +265,8 @@
       continue; // removed hosts need no maintenance
     }
     ++HostsLeft;
-    if (Host->Status == HostStatus::Up && !OpenOrders.contains(Name) &&
-        !AnsweredOrders.contains(Name) && !MovingHosts.contains(Name) &&
-        !isInHandover(Name)) {
+    if (Host->Status == HostStatus::Up && !hasPendingOrder(Name) &&
+        !MovingHosts.contains(Name) && !isInHandover(Name)) {
       AvailableHosts.push_back(Host);
     }
   }
@@ -293,17 +274,21 @@
     Decisions.emplace_back(WaveCompleted{ActiveWave.Request.Number});
     return;
   }
+  // An order that may have been carried out is repeated before others are
+  // issued.
+  const auto Rank = [&](const HostRecord *Host) {
+    return std::make_tuple(!mayBeAway(ActiveWave, Host->Name),
+                           !ActiveWave.DrainingSince.contains(Host->Name),
+                           claimedCpuMilli(*Host, JobDispatcher));
+  };
   std::stable_sort(AvailableHosts.begin(), AvailableHosts.end(),
                    [&](const HostRecord *Left, const HostRecord *Right) {
-                     const bool IsDraining[] = {
-                         ActiveWave.DrainingSince.contains(Left->Name),
-                         ActiveWave.DrainingSince.contains(Right->Name)};
-                     return IsDraining[0] != IsDraining[1]
-                                ? IsDraining[0]
-                                : claimedCpuMilli(*Left, JobDispatcher) <
-                                      claimedCpuMilli(*Right, JobDispatcher);
+                     return Rank(Left) < Rank(Right);
                    });
-  unsigned AwayCount = countAway(ActiveWave);
+  const std::vector<HostName> &WaveHosts = ActiveWave.Request.Hosts;
+  auto AwayCount = static_cast<unsigned>(std::count_if(
+      WaveHosts.begin(), WaveHosts.end(),
+      [&](const HostName &Name) { return mayBeAway(ActiveWave, Name); }));
   const unsigned MaxDrains = std::min(desiredDrains(ActiveWave, HostsLeft),
                                       ActiveWave.Request.MaxAway);
   for (const HostRecord *Host : AvailableHosts) {
@@ -313,11 +298,12 @@
                            Now - DrainIt->second > Settings.DrainTimeout;
     const bool MayInterrupt =
         Worker == nullptr || canInterrupt(*Worker, JobDispatcher, Jobs);
-    if (AwayCount < ActiveWave.Request.MaxAway && MayInterrupt &&
+    const unsigned OwnCount = mayBeAway(ActiveWave, Host->Name) ? 1 : 0;
+    if (AwayCount - OwnCount < ActiveWave.Request.MaxAway && MayInterrupt &&
         (hasOnlyLongRunningTasks(Worker) || IsOverdue)) {
       issueOrder({Host->Name, Host->WorkerId, ActiveWave.Request.Number, {}},
                  JobDispatcher, Decisions);
-      ++AwayCount;
+      AwayCount += 1 - OwnCount;
       continue;
     }
     if (!MayInterrupt && DrainIt != ActiveWave.DrainingSince.end()) {
@@ -342,64 +328,4 @@
   }
 }
 
-void HostScheduler::handleReply(const HostOrder &Order, bool WasAccepted) {
-  OpenOrders.erase(Order.Host);
-  AnsweredOrders[Order.Host] = {Order, WasAccepted};
-}
-
-void HostScheduler::settleOrders(Dispatcher &JobDispatcher) {
-  for (const auto &[Name, OrderAndAnswer] : std::exchange(AnsweredOrders, {})) {
-    const auto &[Order, WasAccepted] = OrderAndAnswer;
-    const HostRecord *Host = find(Name);
-    const bool IsGone = Host == nullptr || Host->Status != HostStatus::Up ||
-                        Host->WorkerId != Order.WorkerId;
-    if (IsGone) {
-      JobDispatcher.handleHostGone(Order.WorkerId);
-    } else {
-      MovingHosts.erase(Name);
-    }
-    if (const auto WaveIt = Waves.find(Order.Wave); WaveIt != Waves.end()) {
-      WaveIt->second.DrainingSince.erase(Name);
-      if (IsGone) {
-        WaveIt->second.AwaySince[Name] = Time.now();
-      }
-      if (IsGone || WasAccepted) {
-        WaveIt->second.DoneHosts.insert(Name);
-      }
-    }
-    Log.write(LogLevel::Info, "host-order-settled",
-              {{"host", Name.Text},
-               {"wave", Order.Wave},
-               {"to", Order.DestinationPool.Text},
-               {"taken", WasAccepted},
-               {"away", IsGone}});
-  }
-}
-
-void HostScheduler::handleRefusal(const HostOrder &Order,
-                                  Dispatcher &JobDispatcher) {
-  OpenOrders.erase(Order.Host);
-  MovingHosts.erase(Order.Host);
-  if (const auto WaveIt = Waves.find(Order.Wave); WaveIt != Waves.end()) {
-    WaveIt->second.DrainingSince.erase(Order.Host);
-  }
-  JobDispatcher.setCordons(cordons());
-}
-
-void HostScheduler::addDoneHosts(std::uint64_t Number,
-                                 const std::vector<HostName> &Names) {
-  const auto WaveIt = Waves.find(Number);
-  if (WaveIt != Waves.end()) {
-    WaveIt->second.DoneHosts.insert(Names.begin(), Names.end());
-  }
-}
-
-std::vector<HostName> HostScheduler::doneHosts(std::uint64_t Number) const {
-  const auto WaveIt = Waves.find(Number);
-  return WaveIt == Waves.end()
-             ? std::vector<HostName>()
-             : std::vector<HostName>(WaveIt->second.DoneHosts.begin(),
-                                     WaveIt->second.DoneHosts.end());
-}
-
 } // namespace balsamlatch::dispatch
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -23,6 +23,9 @@
   /// Time for which a host is away for maintenance, and for a move.
   Duration MaintenanceTime = std::chrono::seconds(2);
   Duration MoveTime = std::chrono::milliseconds(1500);
+  /// Time within which the platform may still carry out an order to which it
+  /// didn't reply.
+  Duration LateOrderTime = std::chrono::seconds(12);
   /// Part of a wave's time that is kept in reserve, in percent.
   unsigned WaveReservePercent = 25;
   PoolPlannerOptions Pools;
@@ -82,7 +85,9 @@
 
   /// The platform accepted the order, or never replied. It accepts an order
   /// that was already carried out without doing anything, so only the next host
-  /// list shows what became of the worker.
+  /// list shows what became of the worker. A host is done once an order was
+  /// accepted, or the list shows it in maintenance after the order; without a
+  /// reply the order is repeated until then.
   void handleReply(const HostOrder &Order, bool WasAccepted);
   /// The platform refused the order.
   void handleRefusal(const HostOrder &Order, Dispatcher &JobDispatcher);
@@ -91,12 +96,30 @@
   /// lease holder has finished, and returns all of them.
   void addDoneHosts(std::uint64_t Wave, const std::vector<HostName> &Hosts);
   std::vector<HostName> doneHosts(std::uint64_t Wave) const;
+  /// The hosts of a wave that may still be taken away by an order without a
+  /// reply: adds those of the earlier lease holder, and returns all of them.
+  void addUnconfirmedHosts(std::uint64_t Wave,
+                           const std::vector<HostName> &Hosts);
+  std::vector<HostName> unconfirmedHosts(std::uint64_t Wave) const;
 
 private:
+  /// An order without a reply: whether it was or will be carried out is
+  /// unknown.
+  struct UnconfirmedOrder {
+    // The worker that it ends if it is carried out; empty once that is gone.
+    std::string WorkerId;
+    Instant Since{};
+    // Issued by the earlier lease holder.
+    bool IsInherited = false;
+  };
+
   struct Wave {
     WaveRequest Request;
     Instant BegunAt{};
+    // Hosts whose maintenance is known to have begun.
     std::set<HostName> DoneHosts;
+    // Disjoint from DoneHosts.
+    std::map<HostName, UnconfirmedOrder> UnconfirmedOrders;
     // Draining hosts, and the start of their drain.
     std::map<HostName, Instant> DrainingSince;
     // Hosts whose drain was given up, and when they may drain again.
@@ -112,6 +135,15 @@
 
   /// Takes the effect of answered orders from the host list.
   void settleOrders(Dispatcher &JobDispatcher);
+  /// Takes the late effect of unconfirmed orders from the host list.
+  void settleUnconfirmedOrders(Wave &ActiveWave, Dispatcher &JobDispatcher);
+  /// Whether another wave still has to maintain the host, so that the host list
+  /// doesn't show for which wave it is in maintenance.
+  bool isNeededByOtherWave(const Wave &ActiveWave, const HostName &Name) const;
+  bool isUnconfirmed(const Wave &ActiveWave, const HostName &Name) const;
+  bool hasPendingOrder(const HostName &Name) const {
+    return OpenOrders.contains(Name) || AnsweredOrders.contains(Name);
+  }
   /// The workers to keep free of new work, from the drains and orders in
   /// progress.
   std::map<std::string, Cordon> cordons() const;
@@ -134,8 +166,9 @@
                    std::vector<HostDecision> &Decisions);
   /// The hosts that count as capacity of a pool.
   std::vector<PoolHost> poolHosts(const Dispatcher &JobDispatcher) const;
-  /// Hosts of the wave that are away or may be.
-  unsigned countAway(const Wave &ActiveWave) const;
+  /// Whether the host is away for maintenance, or may be or become so by an
+  /// order that was issued.
+  bool mayBeAway(const Wave &ActiveWave, const HostName &Name) const;
   /// Hosts that must drain at once to complete the wave in its time.
   unsigned desiredDrains(const Wave &ActiveWave, std::size_t HostsLeft) const;
   /// Adds the order to the decisions and tracks it as open.
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -326,6 +326,136 @@
   BOOST_TEST(Fleet.Sim.countStarts("a") == 1);
 }
 
+BOOST_AUTO_TEST_CASE(AHostThatIsDownAfterALostOrderStillNeedsMaintenance) {
+  FleetFixture Fleet(1);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  Fleet.Scheduler.handleReply(Orders.front(), false);
+  Fleet.crashWorker(0);
+  BOOST_TEST(Fleet.decide().empty());
+  BOOST_TEST(!Fleet.Completed);
+  BOOST_TEST(Fleet.Scheduler.doneHosts(1).empty());
+  Fleet.Sim.run(4s);
+  Fleet.restartWorker(0);
+  Orders = Fleet.decide();
+  BOOST_TEST(!Fleet.Completed);
+  BOOST_REQUIRE(Orders.size() == 1);
+  Fleet.Scheduler.handleReply(Orders.front(), true);
+  Fleet.Hosts[0].Status = HostStatus::Maintenance;
+  Fleet.publishHosts();
+  Fleet.decide();
+  BOOST_TEST(Fleet.Completed);
+}
+
+BOOST_AUTO_TEST_CASE(AnotherWorkerIsNoProofOfMaintenance) {
+  FleetFixture Fleet(1);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  const std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  Fleet.Scheduler.handleReply(Orders.front(), false);
+  Fleet.Hosts[0].WorkerId = "w0b";
+  Fleet.publishHosts();
+  BOOST_TEST(Fleet.decide().size() == 1);
+  BOOST_TEST(!Fleet.Completed);
+}
+
+BOOST_AUTO_TEST_CASE(AHostThatIsListedInMaintenanceAfterItsOrderIsDone) {
+  FleetFixture Fleet(1);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  const std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  Fleet.Scheduler.handleReply(Orders.front(), false);
+  Fleet.publishHosts(); // the order is carried out after this list
+  Fleet.Hosts[0].Status = HostStatus::Maintenance;
+  Fleet.publishHosts();
+  Fleet.decide();
+  BOOST_TEST(Fleet.Completed);
+}
+
+BOOST_AUTO_TEST_CASE(MaintenanceForAnotherWaveIsNoProof) {
+  FleetFixture Fleet(1);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  WaveRequest Later = waveOf(Fleet.Hosts, 1);
+  Later.Number = 2;
+  Fleet.Scheduler.addWave(Later);
+  const std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(!Orders.empty());
+  for (const HostOrder &Order : Orders) {
+    Fleet.Scheduler.handleReply(Order, false);
+  }
+  Fleet.Hosts[0].Status = HostStatus::Maintenance;
+  Fleet.publishHosts();
+  Fleet.decide();
+  BOOST_TEST(!Fleet.Completed);
+}
+
+BOOST_AUTO_TEST_CASE(AHostCountsAsAwayUntilItsLostOrderCannotBeCarriedOut) {
+  FleetFixture Fleet(2);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  const HostName First = Orders.front().Host;
+  Fleet.Scheduler.handleReply(Orders.front(), false);
+  Fleet.publishHosts();
+  Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  BOOST_TEST((Orders.front().Host == First)); // repeated at once
+  Fleet.Scheduler.handleReply(Orders.front(), false);
+  const std::size_t FirstIndex = First.Text == "h0" ? 0 : 1;
+  Fleet.crashWorker(FirstIndex);
+  Fleet.Sim.run(HostSchedulerOptions().LateOrderTime - 100ms);
+  BOOST_TEST(Fleet.decide().empty());
+  // A host that is lost for good doesn't stop the wave.
+  Fleet.Sim.run(200ms);
+  BOOST_TEST(Fleet.decide().size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(TheHostsOfAnEarlierLeaderCountAsAway) {
+  FleetFixture Fleet(3, false);
+  Fleet.Scheduler.setRecentOrders({Fleet.Hosts[0].Name});
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 2));
+  Fleet.Scheduler.addUnconfirmedHosts(1, {Fleet.Hosts[1].Name});
+  BOOST_TEST((Fleet.Scheduler.unconfirmedHosts(1) ==
+              std::vector{Fleet.Hosts[1].Name}));
+  Fleet.Sim.run(100ms);
+  const std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  BOOST_TEST(Orders.front().Host.Text == "h1");
+  Fleet.Scheduler.handleReply(Orders.front(), true);
+  Fleet.publishHosts();
+  BOOST_TEST(Fleet.Scheduler.unconfirmedHosts(1).empty());
+}
+
+BOOST_AUTO_TEST_CASE(TasksOnAHostWithALostOrderCountAsUnavailable) {
+  FleetFixture Fleet(2);
+  Fleet.Sim.submit("a", longRunningJob(2));
+  Fleet.Sim.run(4s);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 2));
+  std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  const HostOrder First = Orders.front();
+  Fleet.Scheduler.handleReply(First, false);
+  Fleet.publishHosts();
+  Fleet.Sim.run(100ms);
+  // The repeated order ends nothing that doesn't count already.
+  Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  BOOST_TEST((Orders.front() == First));
+  // The first order may still be carried out if the second one is refused.
+  Fleet.Scheduler.handleRefusal(First, *Fleet.Sim.JobDispatcher);
+  const WorkerState &Other = Fleet.Sim.JobDispatcher->workers().at(
+      First.WorkerId == "w0" ? "w1" : "w0");
+  BOOST_TEST(!canInterrupt(Other, *Fleet.Sim.JobDispatcher, Fleet.Sim.Table));
+}
+
 BOOST_AUTO_TEST_CASE(HostsMoveToThePoolWithDemand) {
   // A queue demands more than its pool can run while another pool is idle.
   PoolPlanner Planner{PoolPlannerOptions()};
