--- a/Source/Dispatch/HostOrders.cpp
+++ b/Source/Dispatch/HostOrders.cpp
@@ -57,6 +57,14 @@
          MayBeOrdered;
 }
 
+unsigned HostScheduler::countAway(const Wave &ActiveWave) const {
+  const std::vector<HostName> &Names = ActiveWave.Request.Hosts;
+  return static_cast<unsigned>(
+      std::count_if(Names.begin(), Names.end(), [&](const HostName &Name) {
+        return mayBeAway(ActiveWave, Name);
+      }));
+}
+
 void HostScheduler::settleOrders(Dispatcher &JobDispatcher) {
   for (const auto &[Name, OrderAndAnswer] : std::exchange(AnsweredOrders, {})) {
     const auto &[Order, WasAccepted] = OrderAndAnswer;
--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -285,10 +285,7 @@
                    [&](const HostRecord *Left, const HostRecord *Right) {
                      return Rank(Left) < Rank(Right);
                    });
-  const std::vector<HostName> &WaveHosts = ActiveWave.Request.Hosts;
-  auto AwayCount = static_cast<unsigned>(std::count_if(
-      WaveHosts.begin(), WaveHosts.end(),
-      [&](const HostName &Name) { return mayBeAway(ActiveWave, Name); }));
+  unsigned AwayCount = countAway(ActiveWave);
   const unsigned MaxDrains = std::min(desiredDrains(ActiveWave, HostsLeft),
                                       ActiveWave.Request.MaxAway);
   for (const HostRecord *Host : AvailableHosts) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -169,6 +169,7 @@
   /// Whether the host is away for maintenance, or may be or become so by an
   /// order that was issued.
   bool mayBeAway(const Wave &ActiveWave, const HostName &Name) const;
+  unsigned countAway(const Wave &ActiveWave) const;
   /// Hosts that must drain at once to complete the wave in its time.
   unsigned desiredDrains(const Wave &ActiveWave, std::size_t HostsLeft) const;
   /// Adds the order to the decisions and tracks it as open.
--- a/Tests/Control/HostControllerTest.cpp
+++ b/Tests/Control/HostControllerTest.cpp
@@ -37,9 +37,8 @@
   explicit FakeHosts(EventLoop &CallbackLoop) : Loop(CallbackLoop) {}
 
   void list(ListCallback Callback) override {
-    Loop.after(1ms, [this, Callback = std::move(Callback)] {
-      Callback(Hosts);
-    });
+    Loop.after(1ms,
+               [this, Callback = std::move(Callback)] { Callback(Hosts); });
   }
   void move(const LeaderIdentity &, const HostName &, const PoolName &,
             ReplyCallback) override {}
@@ -149,8 +148,8 @@
   WaveFixture Entry;
   Entry.Platform.Outcome = HostOutcome::Unknown;
   Entry.start();
-  BOOST_REQUIRE(Entry.runUntil(
-      [&] { return Entry.progress().contains("unconfirmed"); }));
+  BOOST_REQUIRE(
+      Entry.runUntil([&] { return Entry.progress().contains("unconfirmed"); }));
   BOOST_TEST((Entry.progress().at("done") == NoHosts));
   BOOST_TEST((Entry.progress().at("unconfirmed") == FirstHost));
   BOOST_TEST(Entry.stored("wave/1") == "open");
@@ -158,8 +157,8 @@
   Entry.Platform.Hosts.front().Status = dispatch::HostStatus::Up;
   BOOST_REQUIRE(
       Entry.runUntil([&] { return Entry.stored("wave/1") == "done"; }));
-  BOOST_REQUIRE(Entry.runUntil(
-      [&] { return Entry.progress().at("done") == FirstHost; }));
+  BOOST_REQUIRE(
+      Entry.runUntil([&] { return Entry.progress().at("done") == FirstHost; }));
   BOOST_TEST(!Entry.progress().contains("unconfirmed"));
 }
 
