dispatch: Best-effort tasks without serving ones near return to full pace

Best-effort tasks that were slowed for a serving task stayed slow for good after it had left their worker, at worst at 0 %. After a change of the leader, those that no serving task was near were slowed to 50 % and stayed there.

Cause: the pace is only adjusted by the tails of serving tasks on the worker, and was kept without them. Now it is full as soon as none is there.

BestEffortTasksReturnToFullPaceOnceNoServingTaskIsNear (20 instead of 100 after 10 s) and ALaterLeaderLetsLoneBestEffortTasksWorkAtFullPace (50 instead of 100) failed before.

--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -400,6 +400,10 @@
 
 void Dispatcher::adjustPace(WorkerState &Worker, Instant Now) {
   if (!Worker.hasBestEffortNextToServing()) {
+    // Nothing is disturbed, and no tail would raise the pace again.
+    if (Worker.TargetPace.Percent != BestEffortPace().Percent) {
+      Worker.TargetPace = {BestEffortPace().Percent, Now};
+    }
     return;
   }
   TailReport Tails{0, Now};
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -999,3 +999,21 @@
                Id << " doesn't run");
   }
 }
+
+BOOST_AUTO_TEST_CASE(BestEffortTasksReturnToFullPaceOnceNoServingTaskIsNear) {
+  BestEffortSimulation Sim;
+  Sim.run(10s);
+  BOOST_REQUIRE(Sim.pace() < 100);
+  Sim.cancel("serving");
+  Sim.run(10s);
+  BOOST_TEST(Sim.pace() == 100);
+}
+
+BOOST_AUTO_TEST_CASE(ALaterLeaderLetsLoneBestEffortTasksWorkAtFullPace) {
+  BestEffortSimulation Sim;
+  Sim.cancel("serving");
+  Sim.run(10s);
+  Sim.startNewTerm();
+  Sim.run(10s);
+  BOOST_TEST(Sim.pace() == 100);
+}
