--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -580,3 +580,37 @@
         Hosts[Index].WorkerId << " gets no work any more");
   }
 }
+
+BOOST_AUTO_TEST_CASE(AHostWhoseWorkerNeverReportsIsReplacedInItsPool) {
+  FleetFixture Fleet(6);
+  Fleet.Sim.submit("a", longRunningJob(4));
+  Fleet.Sim.run(1s);
+  Fleet.moveToStandby(4);
+  Fleet.Sim.Workers[0].IsDown = true;
+  Fleet.Sim.startNewTerm();
+  Fleet.Scheduler.begin();
+  Fleet.Scheduler.setRecentOrders({});
+  Fleet.Sim.run(8s);
+  Fleet.publishHosts();
+  std::size_t Moves = 0;
+  for (int Round = 0; Round < 20; ++Round) {
+    Moves += Fleet.decide().size();
+    Fleet.Sim.run(100ms);
+  }
+  BOOST_TEST(Moves == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AHostWhoseWorkerDrainsIsReplacedInItsPool) {
+  FleetFixture Fleet(6);
+  Fleet.Sim.submit("a", longRunningJob(3));
+  Fleet.Sim.run(1s);
+  Fleet.moveToStandby(4);
+  for (FakeWorker &Worker : Fleet.Sim.Workers) {
+    Worker.Record.Draining = true;
+  }
+  Fleet.Sim.Workers[0].Record.Draining = false;
+  Fleet.Sim.submit("b", longRunningJob(2));
+  Fleet.Sim.run(3s);
+  Fleet.publishHosts();
+  BOOST_TEST(Fleet.decide().size() > 0);
+}
