dispatch: A worker that starts during a host order is cordoned, too

A worker that started on a host under another ID, while an order for the host was open, got new work that the order then cut off, and its tasks did not count as unavailable (AVAIL).

Cause: the cordon of an open order was for the worker that the host had when it was issued.

AWorkerThatStartsDuringAHostOrderIsCordoned failed before (1 start instead of 0).

--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -236,11 +236,19 @@
       AddDraining(Name);
     }
   }
-  for (const auto &[Name, Order] : OpenOrders) {
+  // The order also ends the work of a worker that has started on the host
+  // since.
+  const auto AddOrder = [&](const HostOrder &Order) {
     Cordons[Order.WorkerId] = Cordon::OrderPending;
+    if (const HostRecord *Host = find(Order.Host)) {
+      Cordons[Host->WorkerId] = Cordon::OrderPending;
+    }
+  };
+  for (const auto &[Name, Order] : OpenOrders) {
+    AddOrder(Order);
   }
   for (const auto &[Name, OrderAndAnswer] : AnsweredOrders) {
-    Cordons[OrderAndAnswer.first.WorkerId] = Cordon::OrderPending;
+    AddOrder(OrderAndAnswer.first);
   }
   return Cordons;
 }
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -614,3 +614,21 @@
   Fleet.publishHosts();
   BOOST_TEST(Fleet.decide().size() > 0);
 }
+
+BOOST_AUTO_TEST_CASE(AWorkerThatStartsDuringAHostOrderIsCordoned) {
+  FleetFixture Fleet(1);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  Fleet.Sim.run(100ms);
+  BOOST_REQUIRE(Fleet.decide().size() == 1);
+  // The order has no reply yet when the worker is back under another ID.
+  Fleet.crashWorker(0);
+  Fleet.Sim.Workers[0].Record.Instance.Id = "w1";
+  Fleet.Sim.Workers[0].Record.Address.WorkerId = "w1";
+  Fleet.restartWorker(0);
+  Fleet.Sim.run(1s);
+  Fleet.publishHosts();
+  Fleet.Sim.submit("a", simpleJob(1));
+  Fleet.Sim.run(3s);
+  BOOST_TEST(Fleet.Sim.countStarts("a") == 0);
+}
