dispatch: A task that leaves a host for a wave doesn't come back to it at once

While the other workers had no room, a persistent task that a wave moved off its draining host was placed there again as the last resort a second later, and moved again 75 ms after.

Hosts that drain for maintenance are the last resort after 2.5 s now, when hosts in maintenance are usually back. Hosts that drain for a move still are after 1 s, which ends their drain.

The cordon for a wave has its own name, so ADrainThatCannotSucceedIsGivenUp expects that one. TasksThatLeaveADrainingHostDoNotComeBackToIt (6 runs instead of 4) and APersistentTaskDelaysMaintenanceOnlyAfterAWhile failed with a delay of 1 s.

--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -44,6 +44,8 @@
   std::vector<Resources> RefusedClaims;
   /// Other work is kept from some of the workers.
   bool IsLastResort = false;
+  /// Workers whose hosts drain for maintenance may be used.
+  bool MayDelayMaintenance = false;
 
   void add(WorkerState &Worker) {
     const Resources Free = Worker.freeResources();
@@ -84,6 +86,9 @@
 /// Long-running tasks that stay unplaced longer than this may use workers as
 /// the last resort.
 constexpr Duration LastResortDelay = std::chrono::seconds(1);
+/// The same for workers whose hosts drain for maintenance, which would move the
+/// task again soon. Hosts that are in maintenance are usually back before.
+constexpr Duration MaintenanceDelay = std::chrono::milliseconds(2500);
 /// Maximum number of workers in a query; enough for a step of usual width.
 constexpr std::size_t WorkersPerQuery = 30;
 /// A permit must stay valid until the worker receives the start: this covers
@@ -247,6 +252,7 @@
   if (IsNew) {
     PoolIt->second = findLastResort(*Candidate.Pool, Now);
   }
+  PoolIt->second.MayDelayMaintenance = WaitingTime >= MaintenanceDelay;
   return placeStep(Candidate, PoolIt->second);
 }
 
@@ -500,6 +506,8 @@
     Best.HasRoom = true;
     if (!canTake(*Worker, Step, Task) ||
         (Worker->IsReserved && !IsIsolated && !Pool.IsLastResort) ||
+        (Worker->HostCordon == Cordon::DrainingForMaintenance &&
+         !Pool.MayDelayMaintenance) ||
         (Candidate.Terms->Policy &&
          Permits.findTicket(stepOf(Task), Worker->Record.Instance,
                             PermitUntil) == nullptr) ||
--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -223,17 +223,17 @@
 
 std::map<std::string, Cordon> HostScheduler::cordons() const {
   std::map<std::string, Cordon> Cordons;
-  const auto AddDraining = [&](const HostName &Name) {
+  const auto AddDraining = [&](const HostName &Name, Cordon Kind) {
     if (const HostRecord *Host = find(Name)) {
-      Cordons[Host->WorkerId] = Cordon::Draining;
+      Cordons[Host->WorkerId] = Kind;
     }
   };
   for (const HostName &Name : HostsDrainingForMove) {
-    AddDraining(Name);
+    AddDraining(Name, Cordon::Draining);
   }
   for (const auto &[Number, ActiveWave] : Waves) {
     for (const auto &[Name, Since] : ActiveWave.DrainingSince) {
-      AddDraining(Name);
+      AddDraining(Name, Cordon::DrainingForMaintenance);
     }
   }
   // The order also ends the work of a worker that has started on the host
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -95,8 +95,10 @@
 /// Whether the worker is kept free of new work for its host.
 enum class Cordon {
   None,
-  /// The host is to be maintained or moved once it is vacant.
+  /// The host is to be moved once it is vacant, unless it is needed meanwhile.
   Draining,
+  /// The host is to be maintained once it is vacant.
+  DrainingForMaintenance,
   /// An order that ends all runs on the worker is open for the host.
   OrderPending,
 };
@@ -251,14 +253,14 @@
     return exclusionAt(Now) == WorkerExclusion::None;
   }
   /// Whether a long-running task that no usable worker can take may be placed
-  /// on the worker: also while it drains for its host, which then stays in
-  /// service, and to find out whether runs on it still fail.
+  /// on the worker: also while it drains for its host, and to find out whether
+  /// runs on it still fail.
   bool isLastResort(Instant Now) const {
     switch (exclusionAt(Now)) {
     case WorkerExclusion::None:
       return true;
     case WorkerExclusion::Cordoned:
-      return HostCordon == Cordon::Draining && !Record.Draining &&
+      return HostCordon != Cordon::OrderPending && !Record.Draining &&
              Now >= std::max(AvoidUntil, LastFailureAt + FailureProbeDelay);
     case WorkerExclusion::Avoided:
       return Now >= std::max(AvoidUntil, LastFailureAt + FailureProbeDelay);
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -1017,3 +1017,14 @@
   Sim.run(10s);
   BOOST_TEST(Sim.pace() == 100);
 }
+
+BOOST_AUTO_TEST_CASE(APersistentTaskDelaysMaintenanceOnlyAfterAWhile) {
+  Simulation Sim(1);
+  Sim.run(500ms);
+  Sim.JobDispatcher->setCordons({{"w0", Cordon::DrainingForMaintenance}});
+  Sim.submit("a", longRunningJob(1));
+  Sim.run(2400ms);
+  BOOST_TEST(Sim.countStarts("a") == 0);
+  Sim.run(1s);
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -326,7 +326,7 @@
   Fleet.Scheduler.addWave(waveOf({Fleet.Hosts[0]}, 1));
   BOOST_TEST(Fleet.decide().empty());
   BOOST_TEST((Fleet.Sim.JobDispatcher->workers().at("w0").HostCordon ==
-              Cordon::Draining));
+              Cordon::DrainingForMaintenance));
   Fleet.Sim.run(8s);
   BOOST_TEST(Fleet.decide().empty());
   BOOST_TEST(
@@ -632,3 +632,34 @@
   Fleet.Sim.run(3s);
   BOOST_TEST(Fleet.Sim.countStarts("a") == 0);
 }
+
+BOOST_AUTO_TEST_CASE(TasksThatLeaveADrainingHostDoNotComeBackToIt) {
+  FleetFixture Fleet(2);
+  jobs::JobSpec Spec = longRunningJob(2);
+  Spec.Steps.front().MaxPerWorker = 0;
+  Fleet.Sim.submit("a", Spec);
+  Fleet.Sim.run(4s);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  std::map<std::size_t, Instant> BackAt;
+  for (int Round = 0; Round < 200 && !Fleet.Completed; ++Round) {
+    Fleet.Sim.run(100ms);
+    std::erase_if(BackAt, [&](const auto &Entry) {
+      const bool IsBack = Fleet.Sim.Time.now() >= Entry.second;
+      if (IsBack) {
+        Fleet.Sim.Workers[Entry.first].HasCrashed = false;
+        Fleet.restartWorker(Entry.first);
+      }
+      return IsBack;
+    });
+    Fleet.publishHosts();
+    for (const HostOrder &Order : Fleet.decide()) {
+      const std::size_t Index = Order.Host == Fleet.Hosts[0].Name ? 0 : 1;
+      Fleet.Scheduler.handleReply(Order, true);
+      Fleet.crashWorker(Index);
+      BackAt[Index] = Fleet.Sim.Time.now() + 2s;
+    }
+  }
+  BOOST_TEST(Fleet.Completed);
+  BOOST_TEST(Fleet.Sim.Observed.Runs.size() == 4U);
+}
