--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -225,17 +225,17 @@
 
 std::map<std::string, Cordon> HostScheduler::cordons() const {
   std::map<std::string, Cordon> Cordons;
-  const auto AddDraining = [&](const HostName &Name) {
+  const auto AddDraining = [&](const HostName &Name, Cordon Kind) {
     if (const HostRecord *Host = find(Name)) {
-      Cordons[Host->WorkerId] = Cordon::Draining;
+      Cordons[Host->WorkerId] = Kind;
     }
   };
   for (const HostName &Name : HostsDrainingForMove) {
-    AddDraining(Name);
+    AddDraining(Name, Cordon::Draining);
   }
   for (const auto &[Number, ActiveWave] : Waves) {
     for (const auto &[Name, Since] : ActiveWave.DrainingSince) {
-      AddDraining(Name);
+      AddDraining(Name, Cordon::DrainingForMaintenance);
     }
   }
   for (const auto &[Number, ActiveWave] : Waves) {
@@ -245,11 +245,19 @@
       }
     }
   }
-  for (const auto &[Name, Order] : OpenOrders) {
+  // The order also ends the work of a worker that has started on the host
+  // since.
+  const auto AddOrder = [&](const HostOrder &Order) {
     Cordons[Order.WorkerId] = Cordon::OrderPending;
+    if (const HostRecord *Host = find(Order.Host)) {
+      Cordons[Host->WorkerId] = Cordon::OrderPending;
+    }
+  };
+  for (const auto &[Name, Order] : OpenOrders) {
+    AddOrder(Order);
   }
   for (const auto &[Name, OrderAndAnswer] : AnsweredOrders) {
-    Cordons[OrderAndAnswer.first.WorkerId] = Cordon::OrderPending;
+    AddOrder(OrderAndAnswer.first);
   }
   return Cordons;
 }
--- a/Tests/Control/LivenessChecker.cpp
+++ b/Tests/Control/LivenessChecker.cpp
@@ -56,10 +56,10 @@
 
 void LivenessChecker::report(const std::string &Kind,
                              const std::string &Details) {
-  Found.try_emplace(
-      Kind,
-      fmt::format("{} ms into the calm: {}: {}",
-                  toMilliseconds(Sim.Time.now() - CalmSince), Kind, Details));
+  Found.try_emplace(Kind,
+                    fmt::format("{} ms into the calm: {}: {}",
+                                toMilliseconds(Sim.Time.now() - CalmSince),
+                                Kind, Details));
 }
 
 void LivenessChecker::expectSoon(const std::string &Kind,
@@ -204,8 +204,7 @@
       std::count_if(Sim.Entries.begin(), Sim.Entries.end(),
                     [](const auto &Each) { return !Each.isInReach(); }));
   // A lost entry may be tried in place of another one.
-  const std::size_t Wanted =
-      std::min(Sim.Entries.size(), Sim.wantedCarriers());
+  const std::size_t Wanted = std::min(Sim.Entries.size(), Sim.wantedCarriers());
   const std::size_t Expected = Wanted - std::min(Lost, Wanted);
   if (Load.Carriers < Expected) {
     report("carriers are missing",
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -326,7 +326,7 @@
   Fleet.Scheduler.addWave(waveOf({Fleet.Hosts[0]}, 1));
   BOOST_TEST(Fleet.decide().empty());
   BOOST_TEST((Fleet.Sim.JobDispatcher->workers().at("w0").HostCordon ==
-              Cordon::Draining));
+              Cordon::DrainingForMaintenance));
   Fleet.Sim.run(8s);
   BOOST_TEST(Fleet.decide().empty());
   BOOST_TEST(
@@ -710,3 +710,86 @@
         Hosts[Index].WorkerId << " gets no work any more");
   }
 }
+
+BOOST_AUTO_TEST_CASE(AHostWhoseWorkerNeverReportsIsReplacedInItsPool) {
+  FleetFixture Fleet(6);
+  Fleet.Sim.submit("a", longRunningJob(4));
+  Fleet.Sim.run(1s);
+  Fleet.moveToStandby(4);
+  Fleet.Sim.Workers[0].IsDown = true;
+  Fleet.Sim.startNewTerm();
+  Fleet.Scheduler.begin();
+  Fleet.Scheduler.setRecentOrders({});
+  Fleet.Sim.run(8s);
+  Fleet.publishHosts();
+  std::size_t Moves = 0;
+  for (int Round = 0; Round < 20; ++Round) {
+    Moves += Fleet.decide().size();
+    Fleet.Sim.run(100ms);
+  }
+  BOOST_TEST(Moves == 1);
+}
+
+BOOST_AUTO_TEST_CASE(AHostWhoseWorkerDrainsIsReplacedInItsPool) {
+  FleetFixture Fleet(6);
+  Fleet.Sim.submit("a", longRunningJob(3));
+  Fleet.Sim.run(1s);
+  Fleet.moveToStandby(4);
+  for (FakeWorker &Worker : Fleet.Sim.Workers) {
+    Worker.Record.Draining = true;
+  }
+  Fleet.Sim.Workers[0].Record.Draining = false;
+  Fleet.Sim.submit("b", longRunningJob(2));
+  Fleet.Sim.run(3s);
+  Fleet.publishHosts();
+  BOOST_TEST(Fleet.decide().size() > 0);
+}
+
+BOOST_AUTO_TEST_CASE(AWorkerThatStartsDuringAHostOrderIsCordoned) {
+  FleetFixture Fleet(1);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  Fleet.Sim.run(100ms);
+  BOOST_REQUIRE(Fleet.decide().size() == 1);
+  // The order has no reply yet when the worker is back under another ID.
+  Fleet.crashWorker(0);
+  Fleet.Sim.Workers[0].Record.Instance.Id = "w1";
+  Fleet.Sim.Workers[0].Record.Address.WorkerId = "w1";
+  Fleet.restartWorker(0);
+  Fleet.Sim.run(1s);
+  Fleet.publishHosts();
+  Fleet.Sim.submit("a", simpleJob(1));
+  Fleet.Sim.run(3s);
+  BOOST_TEST(Fleet.Sim.countStarts("a") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(TasksThatLeaveADrainingHostDoNotComeBackToIt) {
+  FleetFixture Fleet(2);
+  jobs::JobSpec Spec = longRunningJob(2);
+  Spec.Steps.front().MaxPerWorker = 0;
+  Fleet.Sim.submit("a", Spec);
+  Fleet.Sim.run(4s);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  std::map<std::size_t, Instant> BackAt;
+  for (int Round = 0; Round < 200 && !Fleet.Completed; ++Round) {
+    Fleet.Sim.run(100ms);
+    std::erase_if(BackAt, [&](const auto &Entry) {
+      const bool IsBack = Fleet.Sim.Time.now() >= Entry.second;
+      if (IsBack) {
+        Fleet.Sim.Workers[Entry.first].HasCrashed = false;
+        Fleet.restartWorker(Entry.first);
+      }
+      return IsBack;
+    });
+    Fleet.publishHosts();
+    for (const HostOrder &Order : Fleet.decide()) {
+      const std::size_t Index = Order.Host == Fleet.Hosts[0].Name ? 0 : 1;
+      Fleet.Scheduler.handleReply(Order, true);
+      Fleet.crashWorker(Index);
+      BackAt[Index] = Fleet.Sim.Time.now() + 2s;
+    }
+  }
+  BOOST_TEST(Fleet.Completed);
+  BOOST_TEST(Fleet.Sim.Observed.Runs.size() == 4U);
+}
