tests: The worker that starts during a host order is a worker of its own

The test renamed the simulated worker, so that orders to the earlier one found none. It now adds a worker; it still fails without the cordon (1 start instead of 0).

--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -753,9 +753,14 @@
   BOOST_REQUIRE(Fleet.decide().size() == 1);
   // The order has no reply yet when the worker is back under another ID.
   Fleet.crashWorker(0);
-  Fleet.Sim.Workers[0].Record.Instance.Id = "w1";
-  Fleet.Sim.Workers[0].Record.Address.WorkerId = "w1";
-  Fleet.restartWorker(0);
+  FakeWorker NextWorker = Fleet.Sim.Workers[0];
+  NextWorker.Record.Instance = {"w1", 2000};
+  NextWorker.Record.Address.WorkerId = "w1";
+  NextWorker.HasCrashed = false;
+  Fleet.Sim.Workers.push_back(NextWorker);
+  Fleet.Hosts[0].Status = HostStatus::Up;
+  Fleet.Hosts[0].WorkerId = "w1";
+  Fleet.publishHosts();
   Fleet.Sim.run(1s);
   Fleet.publishHosts();
   Fleet.Sim.submit("a", simpleJob(1));
