dispatch: Lost replies alone don't take a host out of its pool

With a pool just at its size, two lost replies of an idle worker in a row moved a host to it, and back after a while; on a long poll of a second one may be enough.

Cause: a worker counted as out of service when it was unresponsive and its last report was over a second old. Idle workers report every two seconds, so the first lost reply sufficed. The second is counted from the first renewal that failed now, also for workers that have not reported yet.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -292,7 +292,7 @@
   endAllAsLost(WorkerIt->second,
                "the host of the worker was moved or maintained");
   WorkerIt->second.IsRegistered = false;
-  WorkerIt->second.IsUnresponsive = true;
+  WorkerIt->second.setUnresponsive(Time.now());
   WorkerIt->second.HasEnded = true;
   WorkerIt->second.EndedAt = Time.now();
   WorkerIt->second.NextRenewalAt = Time.now() + Settings.IdleRenewalPeriod;
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -61,7 +61,7 @@
       Log.write(LogLevel::Info, "worker-silent",
                 {{"worker", WorkerId}, {"outcome", static_cast<int>(Outcome)}});
     }
-    Worker.IsUnresponsive = true;
+    Worker.setUnresponsive(Now);
     ++Worker.UnansweredRenewals;
     Worker.NextRenewalAt = Now + renewalRetryDelay(Worker);
     return;
--- a/Source/Dispatch/HostMoves.cpp
+++ b/Source/Dispatch/HostMoves.cpp
@@ -28,21 +28,12 @@
 /// about as long.
 constexpr Duration DueLookahead = std::chrono::milliseconds(1700);
 
-/// Renewals without a reply after which a worker that has not reported yet
-/// doesn't count for its pool.
-constexpr unsigned MaxUnansweredRenewals = 3;
-
 /// Whether the worker takes no work for longer than a few replies may be lost.
 bool isOutOfService(const WorkerState *Worker, Instant Now) {
-  if (Worker == nullptr) {
-    return false;
-  }
-  if (!Worker->HasReported) {
-    return Worker->UnansweredRenewals > MaxUnansweredRenewals;
-  }
-  return (Worker->IsUnresponsive &&
-          Now - Worker->LastReportAt > MaxServiceGap) ||
-         Worker->Record.Draining || Now < Worker->FailingUntil;
+  return Worker != nullptr &&
+         ((Worker->IsUnresponsive &&
+           Now - Worker->UnresponsiveSince > MaxServiceGap) ||
+          Worker->Record.Draining || Now < Worker->FailingUntil);
 }
 
 /// Adds the demand of the tasks of a step that run or could run now.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <map>
 #include <unordered_map>
+#include <utility>
 
 namespace balsamlatch::dispatch {
 
@@ -130,8 +131,9 @@
   bool IsRegistered = false;
   /// Has replied to a renewal in this term.
   bool HasReported = false;
-  /// The last renewal failed or got no reply.
+  /// The last renewal failed or got no reply, and since when that is so.
   bool IsUnresponsive = false;
+  Instant UnresponsiveSince{};
   /// This incarnation has ended as far as is known: its host was moved or
   /// maintained, or no host runs it any more. Its registration may last longer.
   bool HasEnded = false;
@@ -197,6 +199,11 @@
   /// being stopped.
   Resources OrphanedResources;
 
+  void setUnresponsive(Instant Now) {
+    if (!std::exchange(IsUnresponsive, true)) {
+      UnresponsiveSince = Now;
+    }
+  }
   WorkerClock clockAt(Instant Now) const {
     return Clock +
            std::chrono::duration_cast<WorkerClock>(Now - ClockReceivedAt);
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -663,3 +663,21 @@
   BOOST_TEST(Fleet.Completed);
   BOOST_TEST(Fleet.Sim.Observed.Runs.size() == 4U);
 }
+
+BOOST_AUTO_TEST_CASE(TwoLostRepliesMoveNoHost) {
+  // Idle workers report every two seconds.
+  FleetFixture Fleet(4);
+  Fleet.moveToStandby(PoolPlannerOptions().MinHosts);
+  BOOST_TEST(Fleet.decide().empty());
+  unsigned LostCount = 0;
+  Fleet.Sim.LosesAnswer = [&](const WorkerOrder &Order) {
+    return workerOf(Order).WorkerId == "w0" && ++LostCount <= 2;
+  };
+  std::size_t Moves = 0;
+  for (int Round = 0; Round < 400; ++Round) {
+    Fleet.Sim.run(10ms);
+    Moves += Fleet.decide().size();
+  }
+  BOOST_TEST(LostCount > 2U);
+  BOOST_TEST(Moves == 0U);
+}
