dispatch: A host that moves counts for its new pool although its worker has ended

A host that kept its worker's ID over a move counted for no pool from a second after its order until the worker's first report, so another one was moved, too.

AHostCountsForItsNewPoolUntilItsMoveIsOver failed before: 1 move instead of none.

--- a/Source/Dispatch/HostMoves.cpp
+++ b/Source/Dispatch/HostMoves.cpp
@@ -102,16 +102,19 @@
           return WaveEntry.second.DrainingSince.contains(Key);
         });
     const WorkerState *Worker = findHostWorker(Host, JobDispatcher);
+    const auto MoveIt = MovingHosts.find(Name);
+    // The worker of a host that moves is known to be out of reach for a while.
+    const bool LacksWorker =
+        MoveIt == MovingHosts.end() && isOutOfService(Worker, Time.now());
     if (Host.Status == HostStatus::Down ||
         Host.Status == HostStatus::Maintenance || DrainsForWave ||
-        isOutOfService(Worker, Time.now())) {
+        LacksWorker) {
       continue; // no capacity for its pool at present
     }
     PoolHost Entry;
     Entry.Name = Name;
     Entry.Pool = Host.Pool;
     Entry.Capacity = Host.Capacity;
-    const auto MoveIt = MovingHosts.find(Name);
     if (MoveIt != MovingHosts.end()) {
       Entry.Pool = MoveIt->second.TargetPool;
     }
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -681,3 +681,27 @@
   BOOST_TEST(LostCount > 2U);
   BOOST_TEST(Moves == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(AHostCountsForItsNewPoolUntilItsMoveIsOver) {
+  FleetFixture Fleet(3);
+  Fleet.Sim.submit("a", longRunningJob(1));
+  Fleet.Sim.run(1s);
+  Fleet.moveToStandby(1);
+  // The hosts in standby keep their workers' IDs.
+  Fleet.Hosts[1].WorkerId = "w1";
+  Fleet.Hosts[2].WorkerId = "w2";
+  Fleet.publishHosts();
+  const std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  const std::size_t Moved = Orders.front().Host == Fleet.Hosts[1].Name ? 1 : 2;
+  Fleet.Scheduler.handleReply(Orders.front(), true);
+  Fleet.Sim.Workers[Moved].HasCrashed = true;
+  Fleet.Hosts[Moved].Status = HostStatus::Moving;
+  std::size_t Moves = 0;
+  for (int Round = 0; Round < 15; ++Round) {
+    Fleet.publishHosts();
+    Moves += Fleet.decide().size();
+    Fleet.Sim.run(100ms);
+  }
+  BOOST_TEST(Moves == 0U);
+}
