dispatch: Pools that share hosts leave none over, and idle ones give up their last

Shares now go without the least sizes if these alone take all hosts, and what rounding leaves goes to the pools that it took the most from. IdlePoolsGiveUpTheirLastHostsForWork (no move) and NoHostIsLeftOverWhenPoolsShare (9 moves instead of 11) failed before.

--- a/Source/Dispatch/PoolPlanner.cpp
+++ b/Source/Dispatch/PoolPlanner.cpp
@@ -4,6 +4,7 @@
 #include "balsamlatch/Dispatch/PoolPlanner.h"
 
 #include <algorithm>
+#include <functional>
 
 namespace balsamlatch::dispatch {
 
@@ -90,29 +91,63 @@
   }
 }
 
+/// Hosts that each pool keeps when the hosts are shared, in the order of the
+/// pools; and their sum.
+struct Reservations {
+  std::vector<std::uint64_t> Hosts;
+  std::uint64_t Sum = 0;
+};
+
+Reservations reserveHosts(const PoolPlanner::Balances &PoolBalances,
+                          unsigned MinHosts) {
+  Reservations Result;
+  for (const auto &[Name, Pool] : PoolBalances) {
+    Result.Hosts.push_back(
+        std::min(Pool.DesiredHosts, std::max(MinHosts, Pool.FixedHosts)));
+    Result.Sum += Result.Hosts.back();
+  }
+  return Result;
+}
+
 /// Shares the hosts in proportion to what the pools desire if they desire more
 /// than there are. Without it, a pool whose demand came first keeps its hosts
 /// while work for later ones piles up.
 void limitToFairShares(PoolPlanner::Balances &PoolBalances, unsigned MinHosts) {
   std::uint64_t Available = 0;
-  std::uint64_t Reserved = 0;
   std::uint64_t Desired = 0;
-  const auto ReservedHosts = [MinHosts](const PoolPlanner::Balance &Pool) {
-    return std::min(Pool.DesiredHosts, std::max(MinHosts, Pool.FixedHosts));
-  };
   for (const auto &[Name, Pool] : PoolBalances) {
     Available += Pool.HostCount;
-    Reserved += ReservedHosts(Pool);
     Desired += Pool.DesiredHosts;
   }
-  if (Desired <= Available || Reserved >= Available) {
+  if (Desired <= Available) {
     return;
   }
+  Reservations Reserved = reserveHosts(PoolBalances, MinHosts);
+  if (Reserved.Sum >= Available) {
+    Reserved = reserveHosts(PoolBalances, 0); // pools may be without a host
+  }
+  if (Reserved.Sum >= Available) {
+    return;
+  }
+  std::uint64_t Left = Available - Reserved.Sum;
+  // Pools by what rounding takes from their share.
+  std::multimap<std::uint64_t, PoolPlanner::Balance *, std::greater<>> ByRest;
+  auto FloorIt = Reserved.Hosts.begin();
   for (auto &[Name, Pool] : PoolBalances) {
-    const std::uint64_t Floor = ReservedHosts(Pool);
-    Pool.DesiredHosts = static_cast<unsigned>(
-        Floor + (Pool.DesiredHosts - Floor) * (Available - Reserved) /
-                    (Desired - Reserved));
+    const std::uint64_t Floor = *FloorIt++;
+    const std::uint64_t Share =
+        (Pool.DesiredHosts - Floor) * (Available - Reserved.Sum);
+    const std::uint64_t Whole = Share / (Desired - Reserved.Sum);
+    ByRest.emplace(Share % (Desired - Reserved.Sum), &Pool);
+    Pool.DesiredHosts = static_cast<unsigned>(Floor + Whole);
+    Left -= Whole;
+  }
+  for (const auto &[Rest, Pool] : ByRest) {
+    if (Left == 0 || Rest == 0) {
+      return;
+    }
+    ++Pool->DesiredHosts;
+    --Left;
   }
 }
 
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -610,6 +610,47 @@
 
 namespace {
 
+std::vector<PoolHost> vacantHosts(unsigned Count, const PoolName &Pool) {
+  std::vector<PoolHost> Hosts(Count);
+  for (std::size_t Number = 0; Number < Hosts.size(); ++Number) {
+    Hosts[Number].Name = HostName(fmt::format("{}-{}", Pool.Text, Number));
+    Hosts[Number].Pool = Pool;
+    Hosts[Number].Capacity = {4000, 4000, 0};
+    Hosts[Number].IsMovable = Hosts[Number].IsVacant = true;
+  }
+  return Hosts;
+}
+
+} // namespace
+
+// Work waited for ever in a small fleet, beside idle pools of the least size.
+BOOST_AUTO_TEST_CASE(IdlePoolsGiveUpTheirLastHostsForWork) {
+  PoolPlanner Planner{PoolPlannerOptions()};
+  const PoolName BusyPool("busy");
+  const PoolName IdlePool("idle");
+  std::vector<PoolHost> Hosts = vacantHosts(2, IdlePool);
+  const PoolPlan Plan =
+      Planner.plan(Instant(1s), {{BusyPool}, {IdlePool}},
+                   {{BusyPool, {{30000, 1000, 0}, 0}}}, Hosts);
+  BOOST_TEST(!Plan.Moves.empty());
+}
+
+// A host stayed in standby while pools that had to share lacked it.
+BOOST_AUTO_TEST_CASE(NoHostIsLeftOverWhenPoolsShare) {
+  PoolPlanner Planner{PoolPlannerOptions()};
+  const std::vector<Pool> Pools = {
+      {PoolName("a")}, {PoolName("b")}, {PoolName("c")}, {StandbyPool, true}};
+  std::map<PoolName, PoolDemand> Demand;
+  for (const char *Name : {"a", "b", "c"}) {
+    Demand[PoolName(Name)].BatchResources = {40000, 1000, 0};
+  }
+  const PoolPlan Plan =
+      Planner.plan(Instant(1s), Pools, Demand, vacantHosts(11, StandbyPool));
+  BOOST_TEST(Plan.Moves.size() == 11);
+}
+
+namespace {
+
 /// A fleet whose hosts are filled by jobs of one queue when jobs of an urgent
 /// queue arrive, whose own pool has a single host.
 struct TwoQueueFixture : FleetFixture {
