dispatch: A worker that starts with an earlier clock is no longer taken for at work

A worker that starts again under its ID tells its new life by the time of its start. If the clock was set back in between, that time is earlier. All its replies were then ignored as those of an earlier life, but it was never unresponsive, so its leases were renewed: a persistent task on it counted as running for the rest of the term.

A reply to a renewal that was sent after the later start was known can't be of an earlier life. It counts as none now, so the runs are lost when their lease ends. The worker gets no work for the rest of the term, as before.

Orders name a worker by its ID, which it may keep; the simulation can leave out the refusal by life now. ATaskIsRestartedIfItsWorkerStartsWithAnEarlierClock failed before (1 start instead of 2).

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -266,6 +266,7 @@
                {"before", Worker.Record.Instance.Incarnation}});
   }
   Worker.Record.Instance.Incarnation = Incarnation;
+  Worker.IncarnationLearntAt = Time.now();
   Worker.HasReported = false;
   Worker.HasEnded = false;
   Worker.NextRenewalAt =
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -55,7 +55,14 @@
   if (Worker.HasEnded && SentAt < Worker.EndedAt) {
     return;
   }
-  if (Outcome != OrderOutcome::Done) {
+  const bool IsOfEarlierIncarnation =
+      Report.Incarnation != 0 &&
+      Report.Incarnation < Worker.Record.Instance.Incarnation;
+  // An earlier incarnation can't reply any more, so the clock of a later one
+  // was set back. What ran on the worker is gone.
+  const bool HasRestarted =
+      IsOfEarlierIncarnation && SentAt > Worker.IncarnationLearntAt;
+  if (Outcome != OrderOutcome::Done || HasRestarted) {
     Fenced = Fenced || Outcome == OrderOutcome::Fenced;
     if (!Worker.IsUnresponsive && Worker.HasReported) {
       Log.write(LogLevel::Info, "worker-silent",
@@ -67,8 +74,7 @@
     return;
   }
   noteReplyDelay(Worker, SentAt);
-  if (Report.Incarnation != 0 &&
-      Report.Incarnation < Worker.Record.Instance.Incarnation) {
+  if (IsOfEarlierIncarnation) {
     Worker.NextRenewalAt = Now; // the reply is from an earlier incarnation
     return;
   }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -134,6 +134,8 @@
   /// The last renewal failed or got no reply, and since when that is so.
   bool IsUnresponsive = false;
   Instant UnresponsiveSince{};
+  /// When the incarnation was learnt in this term.
+  Instant IncarnationLearntAt{};
   /// This incarnation has ended as far as is known: its host was moved or
   /// maintained, or no host runs it any more. Its registration may last longer.
   bool HasEnded = false;
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -1028,3 +1028,16 @@
   Sim.run(1s);
   BOOST_TEST(Sim.countStarts("a") == 1);
 }
+
+BOOST_AUTO_TEST_CASE(ATaskIsRestartedIfItsWorkerStartsWithAnEarlierClock) {
+  Simulation Sim(2);
+  Sim.OrdersNameIncarnation = false;
+  Sim.submit("a", longRunningJob(1));
+  Sim.run(1s);
+  FakeWorker &Worker = workerOfFirstRun(Sim);
+  Worker.crash(Sim.Time.now(), Sim.Observed);
+  Worker.Record.Instance.Incarnation = 500;
+  Sim.run(6s);
+  BOOST_TEST(Sim.countStarts("a") == 2);
+  BOOST_TEST(Sim.violations().empty());
+}
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -403,11 +403,11 @@
   // A later incarnation of the worker refuses orders for an earlier one.
   const auto IsReachable = [&](const FakeWorker &Worker,
                                OrderOutcome &Outcome) {
-    Outcome = Worker.Record.Instance.Incarnation == IntendedIncarnation
-                  ? OrderOutcome::Unknown
-                  : OrderOutcome::WrongWorker;
-    return !Worker.IsDown && !Worker.HasCrashed &&
-           Worker.Record.Instance.Incarnation == IntendedIncarnation;
+    const bool IsIntended =
+        !OrdersNameIncarnation ||
+        Worker.Record.Instance.Incarnation == IntendedIncarnation;
+    Outcome = IsIntended ? OrderOutcome::Unknown : OrderOutcome::WrongWorker;
+    return !Worker.IsDown && !Worker.HasCrashed && IsIntended;
   };
   const bool ReplyArrives = SendsReply && SenderTerm == Term;
   const Instant SentAt = Time.now() - NetworkDelay;
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -166,6 +166,9 @@
   /// delay after which an order is delivered while its sender gets no reply.
   std::function<bool(const WorkerOrder &)> LosesAnswer;
   std::function<std::optional<Duration>(const WorkerOrder &)> OrderDelay;
+  /// Whether a later incarnation refuses orders for an earlier one. Workers
+  /// that keep their ID carry them out.
+  bool OrdersNameIncarnation = true;
   /// Time from the execution of an order to the arrival of its reply.
   Duration ReplyDelay{};
   std::mt19937_64 Random;
