dispatch: A worker that starts with an earlier clock takes work again

A reply to a renewal that was sent after an incarnation became known can't come from an earlier one, so the worker is switched to the incarnation that replied; the registration and replies of the superseded one are ignored.

ATaskIsRestartedIfItsWorkerStartsWithAnEarlierClock, extended: the task is placed again within 3 s instead of a lease, two tasks that need the worker run (1 before), and a late registration of the earlier incarnation ends none.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -240,7 +240,8 @@
 void Dispatcher::registerWorker(const std::string &Id,
                                 const WorkerRecord &Record) {
   WorkerState &Worker = Workers[Id];
-  if (Record.Instance.Incarnation < Worker.Record.Instance.Incarnation) {
+  if (Record.Instance.Incarnation < Worker.Record.Instance.Incarnation ||
+      Record.Instance.Incarnation == Worker.SupersededIncarnation) {
     return; // the worker has already reported a later incarnation
   }
   if (Record.Instance.Incarnation > Worker.Record.Instance.Incarnation) {
@@ -267,6 +268,7 @@
   }
   Worker.Record.Instance.Incarnation = Incarnation;
   Worker.IncarnationLearntAt = Time.now();
+  Worker.SupersededIncarnation = 0;
   Worker.HasReported = false;
   Worker.HasEnded = false;
   Worker.NextRenewalAt =
@@ -513,7 +515,7 @@
   }
   std::vector<std::pair<TaskRef, RunOutcome>> Outcomes;
   for (const auto &[Task, Run] : Worker.Runs) {
-    if (Run.WorkerIncarnation < Incarnation && Run.Phase != RunPhase::Ending) {
+    if (Run.WorkerIncarnation != Incarnation && Run.Phase != RunPhase::Ending) {
       Outcomes.emplace_back(Task, IsCrash && Run.Phase != RunPhase::Proposed
                                       ? crashOutcome(Worker, Run)
                                       : RunOutcome::Lost);
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -55,14 +55,7 @@
   if (Worker.HasEnded && SentAt < Worker.EndedAt) {
     return;
   }
-  const bool IsOfEarlierIncarnation =
-      Report.Incarnation != 0 &&
-      Report.Incarnation < Worker.Record.Instance.Incarnation;
-  // An earlier incarnation can't reply any more, so the clock of a later one
-  // was set back. What ran on the worker is gone.
-  const bool HasRestarted =
-      IsOfEarlierIncarnation && SentAt > Worker.IncarnationLearntAt;
-  if (Outcome != OrderOutcome::Done || HasRestarted) {
+  if (Outcome != OrderOutcome::Done) {
     Fenced = Fenced || Outcome == OrderOutcome::Fenced;
     if (!Worker.IsUnresponsive && Worker.HasReported) {
       Log.write(LogLevel::Info, "worker-silent",
@@ -74,13 +67,10 @@
     return;
   }
   noteReplyDelay(Worker, SentAt);
-  if (IsOfEarlierIncarnation) {
-    Worker.NextRenewalAt = Now; // the reply is from an earlier incarnation
+  if (!acceptIncarnation(Worker, Report.Incarnation, SentAt)) {
+    Worker.NextRenewalAt = Now;
     return;
   }
-  if (Report.Incarnation > Worker.Record.Instance.Incarnation) {
-    setWorkerInstance(Worker, Report.Incarnation);
-  }
   PlanNeeded = PlanNeeded || Worker.IsUnresponsive || !Worker.HasReported;
   if (!Worker.HasReported) {
     // The worker now knows the fencing token of this term, so it refuses
@@ -108,6 +98,24 @@
   }
 }
 
+bool Dispatcher::acceptIncarnation(WorkerState &Worker,
+                                   std::int64_t Incarnation, Instant SentAt) {
+  const std::int64_t Known = Worker.Record.Instance.Incarnation;
+  if (Incarnation == 0 || Incarnation == Known) {
+    return true;
+  }
+  // An earlier incarnation can't reply any more once a later one is known, so
+  // the clock was set back before the worker was started again.
+  const bool HasLowerNumber = Incarnation < Known;
+  if (Incarnation == Worker.SupersededIncarnation ||
+      (HasLowerNumber && SentAt <= Worker.IncarnationLearntAt)) {
+    return false;
+  }
+  setWorkerInstance(Worker, Incarnation);
+  Worker.SupersededIncarnation = HasLowerNumber ? Known : 0;
+  return true;
+}
+
 Duration Dispatcher::renewalRetryDelay(const WorkerState &Worker) const {
   if (Worker.HasEnded) {
     return Settings.IdleRenewalPeriod;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -190,7 +190,7 @@
   void closeIfDone(const JobId &Id);
   /// Declares all runs on the worker lost.
   void endAllAsLost(WorkerState &Worker, std::string_view Reason);
-  /// The worker process of all runs before \p Incarnation has ended. If that
+  /// The worker process of all runs not on \p Incarnation has ended. If that
   /// wasn't planned, the runs that it had just started may be the cause.
   void handleWorkerGone(WorkerState &Worker, std::int64_t Incarnation,
                         std::string_view Reason);
@@ -209,6 +209,10 @@
   /// Switches to another incarnation of the worker; runs of earlier ones are
   /// lost.
   void setWorkerInstance(WorkerState &Worker, std::int64_t Incarnation);
+  /// Switches to the incarnation that has replied to a renewal sent at
+  /// \p SentAt. Returns false if the reply is from an earlier one.
+  bool acceptIncarnation(WorkerState &Worker, std::int64_t Incarnation,
+                         Instant SentAt);
   /// Time until the next renewal after one without a reply.
   Duration renewalRetryDelay(const WorkerState &Worker) const;
   /// Learns from a reply how long to wait for the next ones.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -136,6 +136,9 @@
   Instant UnresponsiveSince{};
   /// When the incarnation was learnt in this term.
   Instant IncarnationLearntAt{};
+  /// The incarnation before, if its number is higher: the clock of the host was
+  /// set back since. Its registration and replies may still arrive. 0 for none.
+  std::int64_t SupersededIncarnation = 0;
   /// This incarnation has ended as far as is known: its host was moved or
   /// maintained, or no host runs it any more. Its registration may last longer.
   bool HasEnded = false;
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -1037,7 +1037,17 @@
   FakeWorker &Worker = workerOfFirstRun(Sim);
   Worker.crash(Sim.Time.now(), Sim.Observed);
   Worker.Record.Instance.Incarnation = 500;
-  Sim.run(6s);
+  Sim.run(3s);
   BOOST_TEST(Sim.countStarts("a") == 2);
+  // The worker takes work again.
+  Sim.submit("b", longRunningJob(2));
+  Sim.run(2s);
+  BOOST_TEST(Sim.countStarts("b") == 2);
+  // The registration of its earlier incarnation may arrive late.
+  WorkerRecord Stale = Worker.Record;
+  Stale.Instance.Incarnation = 1000;
+  Sim.JobDispatcher->updateWorkers({{Stale.Instance.Id, Stale}});
+  Sim.run(2s);
+  BOOST_TEST(Sim.countStarts("b") == 2);
   BOOST_TEST(Sim.violations().empty());
 }
