dispatch, tests: Seeded histories of a fleet check that long-running tasks run where there is room

TestFleetHistories runs the real Dispatcher, HostScheduler and JobTable against hosts, racks, a host list that lags, orders that get lost, late or refused, restarts under the same or a new ID, and changes of the leader, with one to six disturbances in series and overlapping. It checks by its own account: liveness of long-running tasks in calm, what orders interrupt, the limit of hosts of a wave that are away, load, overlapping runs, jobs that never end or fail without cause.

The worker simulation is reused. It gains long polls, startup times, registrations of their own, a silent network and terms without a leader; what the existing tests use of it behaves as before.

--- /dev/null
+++ b/Tests/Dispatch/FleetHistoryTest.cpp
@@ -0,0 +1,56 @@
+/// \file
+/// Runs seeded histories of a fleet under overlapping disturbances, and checks
+/// that long-running tasks run wherever there is room for them.
+///
+/// TestFleetHistories -- --seed N [--count M] runs M histories from seed N on;
+/// a single one prints its disturbances and log lines.
+
+#define BOOST_TEST_MODULE FleetHistories
+#include "FleetHistory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace balsamlatch::dispatch::test;
+
+namespace {
+
+constexpr std::uint64_t FirstSeed = 1;
+constexpr std::uint64_t HistoryCount = 50;
+
+struct Selection {
+  std::uint64_t Seed = FirstSeed;
+  std::uint64_t Count = HistoryCount;
+};
+
+Selection parseSelection() {
+  Selection Selected;
+  const auto &Suite = boost::unit_test::framework::master_test_suite();
+  for (int Index = 1; Index + 1 < Suite.argc; Index += 2) {
+    const std::string_view Name = Suite.argv[Index];
+    const std::string Value = Suite.argv[Index + 1];
+    if (Name == "--seed") {
+      Selected.Seed = std::stoull(Value);
+      Selected.Count = 1;
+    } else if (Name == "--count") {
+      Selected.Count = std::stoull(Value);
+    } else {
+      throw std::invalid_argument("expected --seed N [--count M], not " +
+                                  std::string(Name));
+    }
+  }
+  return Selected;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(LongRunningTasksRunWhereverThereIsRoom) {
+  const Selection Selected = parseSelection();
+  for (std::uint64_t Seed = Selected.Seed;
+       Seed < Selected.Seed + Selected.Count; ++Seed) {
+    FleetHistory History(Seed, Selected.Count == 1);
+    History.run();
+    for (const std::string &Violation : History.Fleet.Violations) {
+      BOOST_ERROR("seed " << Seed << ": " << Violation);
+    }
+  }
+}
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -4,6 +4,7 @@
 #include "Simulation.h"
 
 #include <algorithm>
+#include <charconv>
 #include <fmt/format.h>
 
 namespace balsamlatch::dispatch::test {
@@ -55,7 +56,14 @@
   });
   if (Order.LeaseUntil) {
     LeaseUntil = std::max(LeaseUntil, *Order.LeaseUntil);
+    for (auto &[Task, Run] : Runs) {
+      Run.LeaseUntil = std::max(Run.LeaseUntil, *Order.LeaseUntil);
+    }
   }
+  return report(Now);
+}
+
+RenewReport FakeWorker::report(Instant Now) const {
   RenewReport Report;
   Report.Clock = clock(Now);
   Report.Incarnation = Record.Instance.Incarnation;
@@ -63,14 +71,11 @@
   Report.Ended.assign(Ends.begin(),
                       Ends.begin() + static_cast<std::ptrdiff_t>(ListedEnds));
   Report.MayHaveMoreEnds = ListedEnds == MaxListedEnds;
-  for (auto &[Task, Run] : Runs) {
-    if (Order.LeaseUntil) {
-      Run.LeaseUntil = std::max(Run.LeaseUntil, *Order.LeaseUntil);
-    }
+  for (const auto &[Task, Run] : Runs) {
     const auto Percent =
         Hangs ? 0
               : (Run.LongRunning
-                     ? 100
+                     ? (isAtWork(Run, Now) ? 100 : 0)
                      : static_cast<unsigned>(100 * (Now - Run.StartedAt) /
                                              (RunDuration + Duration(1))));
     unsigned TotalPace = 0;
@@ -161,6 +166,9 @@
   }
   for (auto RunIt = Runs.begin(); RunIt != Runs.end();) {
     const ActiveRun &Run = RunIt->second;
+    if (isAtWork(Run, Now)) {
+      Observed.Runs[Run.TraceIndex].LastAtWork = Now;
+    }
     const bool HasEnded = (!Run.LongRunning || FailsAll) && !Hangs &&
                           Now - Run.StartedAt >= RunDuration;
     const bool LeaseExpired = clock(Now) >= Run.LeaseUntil;
@@ -211,20 +219,33 @@
   Config->Queues = {TestedQueue};
   Config->Pools = {{TestPool, false, true}};
   for (unsigned Index = 0; Index < WorkerCount; ++Index) {
-    FakeWorker &NewWorker = Workers.emplace_back();
-    NewWorker.Record.Instance = {fmt::format("w{}", Index), 1000};
-    NewWorker.Record.Pool = TestPool;
-    NewWorker.Record.Address = {"10.0.0.1", 1, NewWorker.Record.Instance.Id};
-    NewWorker.Record.Capacity = {4000, 4000, 0};
-    NewWorker.FormerCapacity = NewWorker.Record.Capacity;
+    addWorker(TestPool);
   }
   startNewTerm();
 }
 
+FakeWorker &Simulation::addWorker(const PoolName &Pool) {
+  const std::string Id = fmt::format("w{}", Workers.size());
+  FakeWorker &NewWorker = Workers.emplace_back();
+  NewWorker.Record.Instance = {Id, 1000};
+  NewWorker.Record.Pool = Pool;
+  NewWorker.Record.Address = {"10.0.0.1", 1, NewWorker.Record.Instance.Id};
+  NewWorker.Record.Capacity = {4000, 4000, 0};
+  NewWorker.FormerCapacity = NewWorker.Record.Capacity;
+  return NewWorker;
+}
+
+void Simulation::endTerm() {
+  ++Term;
+  RecordInFlight = false;
+  JobDispatcher->end();
+}
+
 void Simulation::startNewTerm() {
   ++Term;
   RecordInFlight = false;
   RequestedEvents.clear();
+  RegistrationsChanged = true;
   JobDispatcher = std::make_unique<Dispatcher>(Time, DispatchOptions(), Log);
   JobDispatcher->begin(FencingToken(Term), Table);
   JobDispatcher->configure(Config);
@@ -256,12 +277,11 @@
 
 void Simulation::step() {
   Time.advance(TimeStep);
-  std::map<std::string, WorkerRecord> Registered;
   for (FakeWorker &Worker : Workers) {
     Worker.advance(Time.now(), Observed);
-    Registered[Worker.Record.Instance.Id] = Worker.Record;
   }
-  JobDispatcher->setWorkers(Registered);
+  updateRegistrations();
+  answerLongPolls();
   std::vector<PendingAction> DueActions;
   for (std::size_t Index = 0; Index < PendingActions.size();) {
     if (PendingActions[Index].DueAt <= Time.now()) {
@@ -285,6 +305,56 @@
   writeJournal();
 }
 
+void Simulation::updateRegistrations() {
+  if (Registrations) {
+    if (std::exchange(RegistrationsChanged, false)) {
+      JobDispatcher->setWorkers(*Registrations);
+    }
+    return;
+  }
+  std::map<std::string, WorkerRecord> Registered;
+  for (const FakeWorker &Worker : Workers) {
+    Registered[Worker.Record.Instance.Id] = Worker.Record;
+  }
+  JobDispatcher->setWorkers(Registered);
+}
+
+void Simulation::answerLongPolls() {
+  std::vector<LongPoll> Waiting;
+  for (LongPoll &Poll : std::exchange(LongPolls, {})) {
+    const std::string &Id = Poll.Order.Worker.WorkerId;
+    FakeWorker &Worker = *find(Id);
+    OrderOutcome Outcome = OrderOutcome::Unknown;
+    if (Poll.SenderTerm != Term) {
+      continue;
+    }
+    if (isReachable(Worker, Poll.Incarnation, Outcome)) {
+      if (Worker.hasEnds() || Time.now() >= Poll.Until) {
+        const RenewReport Report = Worker.report(Time.now());
+        reply([this, Id, SentAt = Poll.SentAt, Report] {
+          JobDispatcher->handleRenewReply(Id, SentAt, OrderOutcome::Done,
+                                          Report);
+        });
+      } else {
+        Waiting.push_back(std::move(Poll));
+      }
+      continue;
+    }
+    const Duration Delay =
+        Worker.IsDown && IsSilentWhileDown
+            ? Poll.Until + Poll.Order.Worker.ReplyTimeout - Time.now()
+            : Duration::zero();
+    schedule(Delay, [this, Id, SentAt = Poll.SentAt, Outcome,
+                     SenderTerm = Poll.SenderTerm] {
+      if (SenderTerm == Term) {
+        JobDispatcher->handleRenewReply(Id, SentAt, Outcome, {});
+      }
+    });
+  }
+  LongPolls.insert(LongPolls.end(), std::make_move_iterator(Waiting.begin()),
+                   std::make_move_iterator(Waiting.end()));
+}
+
 void Simulation::sendQuery(const PermitQuery &Query) {
   Queries.push_back(Query);
   schedule(Query.Expected + NetworkDelay,
@@ -327,12 +397,26 @@
   });
 }
 
+std::optional<std::size_t> Simulation::indexOf(const std::string &Id) const {
+  // IDs are w0, w1 and so on in the order of the workers.
+  std::size_t Index = 0;
+  const char *End = Id.data() + Id.size();
+  return Id.size() > 1 &&
+                 std::from_chars(Id.data() + 1, End, Index).ptr == End &&
+                 Index < Workers.size() &&
+                 Workers[Index].Record.Instance.Id == Id
+             ? std::optional(Index)
+             : std::nullopt;
+}
+
 FakeWorker *Simulation::find(const std::string &Id) {
-  const auto WorkerIt = std::find_if(Workers.begin(), Workers.end(),
-                                     [&](const FakeWorker &Worker) {
-                                       return Worker.Record.Instance.Id == Id;
-                                     });
-  return WorkerIt == Workers.end() ? nullptr : &*WorkerIt;
+  const std::optional<std::size_t> Index = indexOf(Id);
+  return Index ? &Workers[*Index] : nullptr;
+}
+
+const FakeWorker *Simulation::find(const std::string &Id) const {
+  const std::optional<std::size_t> Index = indexOf(Id);
+  return Index ? &Workers[*Index] : nullptr;
 }
 
 void Simulation::schedule(Duration Delay, std::function<void()> Action) {
@@ -344,24 +428,23 @@
 }
 
 void Simulation::send(const WorkerOrder &Order) {
-  const Duration ReplyTimeout = std::visit(
-      [](const auto &TypedOrder) { return TypedOrder.Worker.ReplyTimeout; },
-      Order);
+  const auto *Renewal = std::get_if<RenewOrder>(&Order);
+  const Duration ReplyTimeout =
+      workerOf(Order).ReplyTimeout +
+      (Renewal != nullptr && HasLongPolls ? Renewal->Wait : Duration::zero());
   const bool ReplyLost =
-      (LosesAnswer && LosesAnswer(Order)) || ReplyDelay > ReplyTimeout;
+      (LosesAnswer && LosesAnswer(Order)) || ReplyDelay > ReplyTimeout ||
+      (IsSilentWhileDown && find(workerOf(Order).WorkerId)->IsDown);
   const std::optional<Duration> ExtraDelay =
       OrderDelay ? OrderDelay(Order) : std::optional<Duration>();
   const Duration Delay = ExtraDelay.value_or(NetworkDelay);
-  const std::string &WorkerId = std::visit(
-      [](const auto &TypedOrder) -> const std::string & {
-        return TypedOrder.Worker.WorkerId;
-      },
-      Order);
+  const std::string &WorkerId = workerOf(Order).WorkerId;
   const std::int64_t IntendedIncarnation =
       JobDispatcher->workers().at(WorkerId).Record.Instance.Incarnation;
   schedule(Delay, [this, Order, SenderTerm = Term, IntendedIncarnation,
-                   ReplyLost, ExtraDelay] {
-    deliver(Order, SenderTerm, IntendedIncarnation, !ReplyLost && !ExtraDelay);
+                   ReplyLost, ExtraDelay, SentAt = Time.now()] {
+    deliver(Order, SenderTerm, IntendedIncarnation, !ReplyLost && !ExtraDelay,
+            SentAt);
   });
   if (!ReplyLost && !ExtraDelay) {
     return;
@@ -398,39 +481,62 @@
   });
 }
 
-void Simulation::deliver(const WorkerOrder &Order, std::uint64_t SenderTerm,
-                         std::int64_t IntendedIncarnation, bool SendsReply) {
+bool Simulation::isReachable(const FakeWorker &Worker,
+                             std::int64_t IntendedIncarnation,
+                             OrderOutcome &Outcome) const {
   // A later incarnation of the worker refuses orders for an earlier one.
+  Outcome = Worker.Record.Instance.Incarnation == IntendedIncarnation
+                ? OrderOutcome::Unknown
+                : OrderOutcome::WrongWorker;
+  return !Worker.IsDown && !Worker.HasCrashed &&
+         Worker.Record.Instance.Incarnation == IntendedIncarnation;
+}
+
+void Simulation::deliverRenewal(const RenewOrder &Order,
+                                std::uint64_t SenderTerm,
+                                std::int64_t IntendedIncarnation,
+                                bool ReplyArrives) {
+  const Instant SentAt = Time.now() - NetworkDelay;
+  const std::string &Id = Order.Worker.WorkerId;
+  FakeWorker &Worker = *find(Id);
+  OrderOutcome Outcome = OrderOutcome::Unknown;
+  RenewReport Report;
+  if (isReachable(Worker, IntendedIncarnation, Outcome)) {
+    Report = Worker.renew(Order, Time.now(), Outcome, Observed);
+  }
+  if (!ReplyArrives) {
+    return;
+  }
+  if (HasLongPolls && Outcome == OrderOutcome::Done && !Worker.hasEnds() &&
+      Order.Wait > Duration::zero()) {
+    LongPolls.push_back({Order, SentAt, Time.now() + Order.Wait, SenderTerm,
+                         IntendedIncarnation});
+    return;
+  }
+  reply([this, Id, SentAt, Outcome, Report] {
+    JobDispatcher->handleRenewReply(Id, SentAt, Outcome, Report);
+  });
+}
+
+void Simulation::deliver(const WorkerOrder &Order, std::uint64_t SenderTerm,
+                         std::int64_t IntendedIncarnation, bool SendsReply,
+                         Instant SentAt) {
   const auto IsReachable = [&](const FakeWorker &Worker,
                                OrderOutcome &Outcome) {
-    Outcome = Worker.Record.Instance.Incarnation == IntendedIncarnation
-                  ? OrderOutcome::Unknown
-                  : OrderOutcome::WrongWorker;
-    return !Worker.IsDown && !Worker.HasCrashed &&
-           Worker.Record.Instance.Incarnation == IntendedIncarnation;
+    return isReachable(Worker, IntendedIncarnation, Outcome);
   };
   const bool ReplyArrives = SendsReply && SenderTerm == Term;
-  const Instant SentAt = Time.now() - NetworkDelay;
   if (const auto *Renew = std::get_if<RenewOrder>(&Order)) {
-    FakeWorker &Worker = *find(Renew->Worker.WorkerId);
-    OrderOutcome Outcome = OrderOutcome::Unknown;
-    RenewReport Report;
-    if (IsReachable(Worker, Outcome)) {
-      Report = Worker.renew(*Renew, Time.now(), Outcome, Observed);
-    }
-    if (ReplyArrives) {
-      reply([this, Id = Renew->Worker.WorkerId, SentAt, Outcome, Report] {
-        JobDispatcher->handleRenewReply(Id, SentAt, Outcome, Report);
-      });
-    }
+    deliverRenewal(*Renew, SenderTerm, IntendedIncarnation, ReplyArrives);
   } else if (const auto *Start = std::get_if<StartOrder>(&Order)) {
     FakeWorker &Worker = *find(Start->Worker.WorkerId);
     OrderOutcome Outcome = OrderOutcome::Unknown;
     if (IsReachable(Worker, Outcome)) {
+      const std::size_t RunCount = Observed.Runs.size();
       Outcome = Worker.start(*Start, isLongRunning(Start->Task), Time.now(),
                              Observed);
-      if (Outcome == OrderOutcome::Done) {
-        checkLoad(Worker);
+      if (Observed.Runs.size() > RunCount) {
+        checkLoad(Worker, SentAt);
       }
       if (Outcome == OrderOutcome::Done && CrashesWorker &&
           CrashesWorker(Start->Task)) {
@@ -448,6 +554,9 @@
     FakeWorker &Worker = *find(Stop->Worker.WorkerId);
     OrderOutcome Outcome = OrderOutcome::Unknown;
     if (IsReachable(Worker, Outcome)) {
+      if (BeforeStop) {
+        BeforeStop(Worker, *Stop, Time.now() - SentAt > TimeStep);
+      }
       Outcome = Worker.stop(*Stop, Time.now(), Observed);
     }
     if (ReplyArrives) {
@@ -476,18 +585,15 @@
   Worker.CapacityChangedAt = Time.now();
 }
 
-void Simulation::checkLoad(const FakeWorker &Worker) {
+void Simulation::checkLoad(const FakeWorker &Worker, Instant SentAt) {
   Resources Used;
-  for (const RunTrace &Run : Observed.Runs) {
-    if (Run.Worker == Worker.Record.Instance.Id &&
-        Run.EndedAt == Instant::max()) {
-      const jobs::StepSpec &Step = Specs.at(Run.Task.Job).Steps[Run.Task.Step];
-      Used += Step.RequestedResources;
-      Used.CpuMilli -= Step.BestEffort ? Step.RequestedResources.CpuMilli : 0;
-    }
+  for (const auto &[Task, Run] : Worker.runs()) {
+    const jobs::StepSpec &Step = Specs.at(Task.Job).Steps[Task.Step];
+    Used += Step.RequestedResources;
+    Used.CpuMilli -= Step.BestEffort ? Step.RequestedResources.CpuMilli : 0;
   }
   const bool MayUseFormer =
-      Time.now() - Worker.CapacityChangedAt < CapacityGracePeriod;
+      SentAt < Worker.CapacityChangedAt + CapacityGracePeriod;
   if (!Used.fitsInto(Worker.Record.Capacity) &&
       !(MayUseFormer && Used.fitsInto(Worker.FormerCapacity))) {
     Observed.Overloads.push_back(fmt::format(
@@ -514,7 +620,9 @@
   Worker.HasCrashed = true;
   schedule(CrashDownTime, [this, WorkerId] {
     FakeWorker &RestartedWorker = *find(WorkerId);
-    RestartedWorker.crash(Time.now(), Observed);
+    if (!RestartedWorker.IsRetired) {
+      RestartedWorker.crash(Time.now(), Observed);
+    }
   });
 }
 
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -29,6 +29,10 @@
   bool LeaseExpiredFirst = false;
   /// The run crashed its worker.
   bool CrashedWorker = false;
+  /// When the long-running run was last at work; the epoch if it never was.
+  Instant LastAtWork{};
+  /// A stop or a host order ended the run while it was at work.
+  bool EndedByOrder = false;
 };
 
 /// All runs in the order of their starts, and the results shown to callers.
@@ -52,6 +56,16 @@
 /// A worker that behaves as the platform specifies.
 class FakeWorker {
 public:
+  /// A run in progress.
+  struct ActiveRun {
+    std::uint32_t Number = 0;
+    bool LongRunning = false;
+    Instant StartedAt{};
+    WorkerClock LeaseUntil{};
+    std::optional<Instant> StopsAt;
+    std::size_t TraceIndex = 0;
+  };
+
   WorkerRecord Record;
   bool IsDown = false;
   /// Capacity before the last change, which orders on their way may rely on.
@@ -59,11 +73,15 @@
   Instant CapacityChangedAt{};
   /// The process has ended and is not started again yet.
   bool HasCrashed = false;
+  /// The process is never started again.
+  bool IsRetired = false;
   /// All runs end as failed.
   bool FailsAll = false;
   /// Runs make no progress.
   bool Hangs = false;
   Duration RunDuration = std::chrono::milliseconds(400);
+  /// Time from the start of a long-running run until it is at work.
+  Duration StartupTime{};
   /// Time from a stop order to the end of the run.
   Duration StopDuration{};
   /// Maximum number of ends in a report; the others follow once these are
@@ -74,6 +92,7 @@
 
   RenewReport renew(const RenewOrder &Order, Instant Now, OrderOutcome &Outcome,
                     History &Observed);
+  RenewReport report(Instant Now) const;
   OrderOutcome start(const StartOrder &Order, bool LongRunning, Instant Now,
                      History &Observed);
   OrderOutcome stop(const StopOrder &Order, Instant Now, History &Observed);
@@ -85,22 +104,18 @@
   /// Paces of the runs whose SpecText is "filler".
   std::map<TaskRef, unsigned> Paces;
   void advance(Instant Now, History &Observed);
+  const std::map<TaskRef, ActiveRun> &runs() const { return Runs; }
+  bool hasEnds() const { return !Ends.empty(); }
+  /// Whether a long-running run is at work.
+  bool isAtWork(const ActiveRun &Run, Instant Now) const {
+    return Run.LongRunning && !Hangs && Now - Run.StartedAt >= StartupTime;
+  }
   /// All runs end without a trace on the worker, as in a crash.
   void endAll(Instant Now, History &Observed);
   /// Loses all runs and state, and starts a new incarnation of the worker.
   void crash(Instant Now, History &Observed);
 
 private:
-  /// A run in progress.
-  struct ActiveRun {
-    std::uint32_t Number = 0;
-    bool LongRunning = false;
-    Instant StartedAt{};
-    WorkerClock LeaseUntil{};
-    std::optional<Instant> StopsAt;
-    std::size_t TraceIndex = 0;
-  };
-
   WorkerClock clock(Instant Now) const {
     return std::chrono::duration_cast<WorkerClock>(Now - BootedAt);
   }
@@ -122,11 +137,16 @@
 /// Keeps the lines of one reason.
 class RecordingLog final : public LogSink {
 public:
+  /// Called for each line, if set.
+  std::function<void(std::string_view, const boost::json::object &)> Echo;
   std::string KeptReason;
   std::vector<boost::json::object> Kept;
 
   void write(LogLevel, std::string_view Reason,
              boost::json::object Fields) override {
+    if (Echo) {
+      Echo(Reason, Fields);
+    }
     if (Reason == KeptReason) {
       Kept.push_back(std::move(Fields));
     }
@@ -147,11 +167,21 @@
   void run(Duration Time);
   /// Starts the term of a new lease holder with the jobs in the journal.
   void startNewTerm();
+  /// Ends the term; no lease holder follows until startNewTerm().
+  void endTerm();
+  std::uint64_t term() const { return Term; }
 
   const jobs::Job &job(const std::string &Id) const;
   std::vector<std::string> violations() const;
   unsigned countStarts(const std::string &Id) const;
 
+  /// The place of the worker among Workers.
+  std::optional<std::size_t> indexOf(const std::string &Id) const;
+  FakeWorker *find(const std::string &Id);
+  const FakeWorker *find(const std::string &Id) const;
+  FakeWorker &addWorker(const PoolName &Pool);
+  void schedule(Duration Delay, std::function<void()> Action);
+
   ManualClock Time;
   RecordingLog Log;
   History Observed;
@@ -169,6 +199,17 @@
   /// Time from the execution of an order to the arrival of its reply.
   Duration ReplyDelay{};
   std::mt19937_64 Random;
+  /// Renewals are answered when a run ends, or after their long-poll time.
+  bool HasLongPolls = false;
+  /// Orders to workers that can't be reached fail only by their timeout.
+  bool IsSilentWhileDown = false;
+  /// The registrations that the dispatcher sees; unset if they always match the
+  /// workers. Changes apply once RegistrationsChanged is set.
+  std::optional<std::map<std::string, WorkerRecord>> Registrations;
+  bool RegistrationsChanged = false;
+  /// Called before a stop order is carried out. A late order was held up on its
+  /// way.
+  std::function<void(const FakeWorker &, const StopOrder &, bool)> BeforeStop;
   /// Whether the task crashes each worker that starts it, and the time until
   /// the worker is back.
   std::function<bool(const TaskRef &)> CrashesWorker;
@@ -182,26 +223,41 @@
     Instant DueAt{};
     std::function<void()> Action;
   };
+  /// A renewal that waits for a run to end.
+  struct LongPoll {
+    RenewOrder Order;
+    Instant SentAt{};
+    Instant Until{};
+    std::uint64_t SenderTerm = 0;
+    std::int64_t Incarnation = 0;
+  };
 
   void step();
+  void updateRegistrations();
+  void answerLongPolls();
+  void deliverRenewal(const RenewOrder &Order, std::uint64_t SenderTerm,
+                      std::int64_t IntendedIncarnation, bool ReplyArrives);
+  bool isReachable(const FakeWorker &Worker, std::int64_t IntendedIncarnation,
+                   OrderOutcome &Outcome) const;
   void writeJournal();
   void sendQuery(const PermitQuery &Query);
   void send(const WorkerOrder &Order);
   void deliver(const WorkerOrder &Order, std::uint64_t SenderTerm,
-               std::int64_t IntendedIncarnation, bool SendsReply);
+               std::int64_t IntendedIncarnation, bool SendsReply,
+               Instant SentAt);
   /// Delivers a reply after ReplyDelay.
   void reply(std::function<void()> Receive);
-  FakeWorker *find(const std::string &Id);
-  void schedule(Duration Delay, std::function<void()> Action);
   /// Ends the worker process under the run, and starts it again later.
   void crashUnderRun(const std::string &WorkerId, const StartOrder &Order);
   bool isLongRunning(const TaskRef &Task) const;
-  /// Adds an overload if the runs on the worker take more than its capacity.
-  void checkLoad(const FakeWorker &Worker);
+  /// Adds an overload if the runs on the worker take more than its capacity
+  /// after a start that was sent at \p SentAt.
+  void checkLoad(const FakeWorker &Worker, Instant SentAt);
 
   std::map<JobId, jobs::JobSpec> Specs;
   std::vector<jobs::JobEvent> RequestedEvents;
   std::vector<PendingAction> PendingActions;
+  std::vector<LongPoll> LongPolls;
   std::uint64_t Term = 0;
   std::uint64_t Sequence = 0;
   bool RecordInFlight = false;
