dispatch: A placement that is recorded after its worker has shrunk is not started

The run now ends as refused before it is ordered, and its task is placed anew.

AWorkerThatShrinksBeforeAPlacementIsRecordedIsNotOverloaded fails without the change.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -336,8 +336,9 @@
                              !Run->StopRequested &&
                              isCurrentRun(Event.Task, Event.Run) &&
                              OutcomeWithoutStart != RunOutcome::Done;
-  // The worker may have restarted while the event was being written.
-  if (!IsStillWanted || Worker.Record.Instance != Event.Worker) {
+  // The worker may have restarted or shrunk while the event was being written.
+  if (!IsStillWanted || Worker.Record.Instance != Event.Worker ||
+      !Worker.hasRoomForClaims()) {
     proposeEnd(Worker, Event.Task, *Run, OutcomeWithoutStart, {});
     return;
   }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -202,6 +202,10 @@
     FreeResources -= OrphanedResources;
     return FreeResources;
   }
+  /// Whether all claims fit. They don't once the worker has shrunk.
+  bool hasRoomForClaims() const {
+    return Resources().fitsInto(freeResources());
+  }
   /// Whether any run is on the worker, also one that is being stopped.
   bool isOccupied() const {
     return !Runs.empty() || OrphanedResources != Resources();
--- a/Tests/Dispatch/CapacityTest.cpp
+++ b/Tests/Dispatch/CapacityTest.cpp
@@ -31,6 +31,22 @@
   BOOST_TEST(Sim.violations().empty());
 }
 
+// A placement that waited for the journal was started although its worker had
+// shrunk meanwhile.
+BOOST_AUTO_TEST_CASE(
+    AWorkerThatShrinksBeforeAPlacementIsRecordedIsNotOverloaded) {
+  Simulation Sim(1);
+  Sim.run(100ms);
+  Sim.JournalDelay = 1s;
+  Sim.submit("j", simpleJob(4));
+  Sim.run(1500ms);
+  BOOST_TEST(Sim.Observed.Runs.empty());
+  Sim.setCapacity(Sim.Workers[0], HalfCapacity);
+  Sim.run(20s);
+  BOOST_TEST((Sim.job("j").Record.State == jobs::JobState::Completed));
+  BOOST_TEST(Sim.violations().empty());
+}
+
 // Runs that were counted as lost took room that was given to other runs.
 BOOST_AUTO_TEST_CASE(RunsThatAreToBeStoppedStillTakeRoom) {
   Simulation Sim(1);
