dispatch: A task whose runs met the crashes of one unstable worker isn't given up

A job of a persistent step was shown as failed ("a task crashes the workers that start it") and all its tasks were stopped, although only a worker that restarted again and again was at fault: the task was isolated, and placed on the same worker each time, so that three crashes of one worker counted as proof.

After a crash the task now prefers another worker, as after a failure. ATaskIsNotGivenUpBecauseOneWorkerIsUnstable fails without the change.

Crashes of several workers that have nothing to do with the task (a rack without power) still count against it; that is not changed here.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -441,6 +441,10 @@
              {"run", Run.Number},
              {"worker", Worker.Record.Instance.Id},
              {"how", runEndName(End)}});
+  if (jobs::isCrash(End)) {
+    // The worker may be the cause; a run on another one tells.
+    LastFailedWorker[Task] = Worker.Record.Instance.Id;
+  }
   releaseClaim(Worker, Run);
   WorkerOfEndingRun[Task] = Worker.Record.Instance.Id;
   Events.emplace_back(jobs::TaskEnded{Task, Run.Number, End, Checkpoint});
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -334,8 +334,8 @@
   // milliseconds.
   std::map<QueueName, double> MeanWorkByQueue;
   std::set<JobId> OpenJobs;
-  // The worker on which the last run of a task failed or stalled, so that the
-  // next run prefers another one.
+  // The worker on which the last run of a task failed, stalled or met a crash,
+  // so that the next run prefers another one.
   std::map<TaskRef, std::string> LastFailedWorker;
   // Invariant: holds the IDs of all workers whose LastRecordedEnd is lower than
   // their LastSeenEnd.
--- a/Tests/Dispatch/CrashingTaskTest.cpp
+++ b/Tests/Dispatch/CrashingTaskTest.cpp
@@ -217,3 +217,24 @@
   Isolation.reserveWorkers(Pool, {&Worker}, Instant(10s));
   BOOST_TEST(!Worker.IsReserved);
 }
+
+// A task whose runs met the crashes of one unstable worker was given up.
+BOOST_AUTO_TEST_CASE(ATaskIsNotGivenUpBecauseOneWorkerIsUnstable) {
+  Simulation Sim(2);
+  Sim.JournalDelay = 300ms;
+  jobs::JobSpec Spec = simpleJob(1);
+  Spec.Steps.front().LongRunning = true;
+  Sim.submit("j", Spec);
+  FakeWorker &Unstable = Sim.Workers[0];
+  unsigned Crashes = 0;
+  for (unsigned Turn = 0; Turn < 500; ++Turn) {
+    Sim.run(20ms);
+    if (!Unstable.runs().empty()) {
+      Unstable.crash(Sim.Time.now(), Sim.Observed);
+      ++Crashes;
+    }
+  }
+  BOOST_TEST(Crashes == 1U);
+  BOOST_TEST(Sim.job("j").isOpen());
+  BOOST_TEST(!Sim.Workers[1].runs().empty());
+}
