dispatch: A task that may have crashed its worker isn't isolated on the same worker

A second crash of the same worker doesn't show whose fault it is. The task now waits for another worker as long as it is isolated, two seconds at most, and may go back after that.

ATaskWaitsForAnUnstableWorkerThatMayHaveCrashedUnderIt fails without the change.

--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -489,7 +489,10 @@
       continue;
     }
     Best.HasRoom = true;
-    if (!canTake(*Worker, Step, Task) ||
+    const bool IsLastFailed = FailedIt != LastFailedWorker.end() &&
+                              FailedIt->second == Worker->Record.Instance.Id;
+    // Another crash of the same worker would not show whose fault it is.
+    if ((IsIsolated && IsLastFailed) || !canTake(*Worker, Step, Task) ||
         (Worker->IsReserved && !IsIsolated && !Pool.IsLastResort) ||
         (Candidate.Terms->Policy &&
          Permits.findTicket(stepOf(Task), Worker->Record.Instance,
@@ -504,8 +507,7 @@
     if (IsSuspect) {
       Score -= CrashSuspectPenalty * static_cast<double>(Worker->Runs.size());
     }
-    if (FailedIt != LastFailedWorker.end() &&
-        FailedIt->second == Worker->Record.Instance.Id) {
+    if (IsLastFailed) {
       Score -= FailedOnWorkerPenalty;
     }
     if (Best.Worker == nullptr || Score > BestScore) {
--- a/Tests/Dispatch/CrashingTaskTest.cpp
+++ b/Tests/Dispatch/CrashingTaskTest.cpp
@@ -238,3 +238,23 @@
   BOOST_TEST(Sim.job("j").isOpen());
   BOOST_TEST(!Sim.Workers[1].runs().empty());
 }
+
+// The same where no other worker has room for a while.
+BOOST_AUTO_TEST_CASE(ATaskWaitsForAnUnstableWorkerThatMayHaveCrashedUnderIt) {
+  Simulation Sim(2);
+  Sim.Workers[1].IsDown = true;
+  jobs::JobSpec Spec = simpleJob(1);
+  Spec.Steps.front().LongRunning = true;
+  Sim.submit("j", Spec);
+  FakeWorker &Unstable = Sim.Workers[0];
+  for (unsigned Turn = 0; Turn < 100; ++Turn) {
+    Sim.run(20ms);
+    if (!Unstable.runs().empty()) {
+      Unstable.crash(Sim.Time.now(), Sim.Observed);
+    }
+  }
+  BOOST_TEST(Sim.job("j").isOpen());
+  Sim.run(4s);
+  BOOST_TEST(Sim.job("j").isOpen());
+  BOOST_TEST(!Unstable.runs().empty());
+}
