dispatch: Host orders that may still be carried out count towards the limit of a wave

More hosts of a wave were away than allowed: an order got no reply, the next host list showed no effect, another host was ordered in its place, and the first order was carried out after all. So too with an order of the leader before, which counted towards nothing.

Such a host counts for the handover delay, goes on draining and is ordered again first; the platform carries a repeated order out once.

AnOrderWithoutAReplyCountsAsItMayStillBeCarriedOut and AnOrderOfAnEarlierLeaderCountsAsItMayStillBeCarriedOut fail without the change.

--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -242,6 +242,15 @@
   Decisions.emplace_back(std::move(Order));
 }
 
+bool HostScheduler::mayBeOrdered(const Wave &ActiveWave,
+                                 const HostName &Name) const {
+  const auto UncertainIt = ActiveWave.UncertainUntil.find(Name);
+  return !ActiveWave.DoneHosts.contains(Name) &&
+         (isInHandover(Name) ||
+          (UncertainIt != ActiveWave.UncertainUntil.end() &&
+           Time.now() < UncertainIt->second));
+}
+
 unsigned HostScheduler::countAway(const Wave &ActiveWave) const {
   const Instant Now = Time.now();
   unsigned Count = 0;
@@ -255,7 +264,10 @@
         Host != nullptr && Host->Status == HostStatus::Maintenance;
     const bool HasOpenOrder =
         OpenOrders.contains(Name) || AnsweredOrders.contains(Name);
-    Count += HasOpenOrder || IsRecentlyOrdered || IsInMaintenance ? 1 : 0;
+    Count += HasOpenOrder || IsRecentlyOrdered || IsInMaintenance ||
+                     mayBeOrdered(ActiveWave, Name)
+                 ? 1
+                 : 0;
   }
   return Count;
 }
@@ -313,11 +325,12 @@
                            Now - DrainIt->second > Settings.DrainTimeout;
     const bool MayInterrupt =
         Worker == nullptr || canInterrupt(*Worker, JobDispatcher, Jobs);
-    if (AwayCount < ActiveWave.Request.MaxAway && MayInterrupt &&
+    const bool IsCounted = mayBeOrdered(ActiveWave, Host->Name);
+    if ((IsCounted || AwayCount < ActiveWave.Request.MaxAway) && MayInterrupt &&
         (hasOnlyLongRunningTasks(Worker) || IsOverdue)) {
       issueOrder({Host->Name, Host->WorkerId, ActiveWave.Request.Number, {}},
                  JobDispatcher, Decisions);
-      ++AwayCount;
+      AwayCount += IsCounted ? 0 : 1;
       continue;
     }
     if (!MayInterrupt && DrainIt != ActiveWave.DrainingSince.end()) {
@@ -359,12 +372,18 @@
       MovingHosts.erase(Name);
     }
     if (const auto WaveIt = Waves.find(Order.Wave); WaveIt != Waves.end()) {
-      WaveIt->second.DrainingSince.erase(Name);
+      Wave &OrderWave = WaveIt->second;
       if (IsGone) {
-        WaveIt->second.AwaySince[Name] = Time.now();
+        OrderWave.AwaySince[Name] = Time.now();
       }
       if (IsGone || WasAccepted) {
-        WaveIt->second.DoneHosts.insert(Name);
+        OrderWave.DrainingSince.erase(Name);
+        OrderWave.DoneHosts.insert(Name);
+      } else {
+        // The order may still be carried out, so the host goes on draining and
+        // is ordered again first.
+        OrderWave.DrainingSince.try_emplace(Name, Time.now());
+        OrderWave.UncertainUntil[Name] = Time.now() + Settings.HandoverDelay;
       }
     }
     Log.write(LogLevel::Info, "host-order-settled",
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -103,6 +103,9 @@
     std::map<HostName, Instant> NextDrainAt;
     // Hosts whose order took effect, and when that was seen.
     std::map<HostName, Instant> AwaySince;
+    // Hosts whose order got no reply and may still be carried out, and until
+    // when.
+    std::map<HostName, Instant> UncertainUntil;
   };
 
   struct Move {
@@ -134,6 +137,9 @@
                    std::vector<HostDecision> &Decisions);
   /// The hosts that count as capacity of a pool.
   std::vector<PoolHost> poolHosts(const Dispatcher &JobDispatcher) const;
+  /// Whether an order for a host of the wave may still be carried out that is
+  /// not open any more.
+  bool mayBeOrdered(const Wave &ActiveWave, const HostName &Name) const;
   /// Hosts of the wave that are away or may be.
   unsigned countAway(const Wave &ActiveWave) const;
   /// Hosts that must drain at once to complete the wave in its time.
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -157,6 +157,42 @@
   BOOST_TEST(Orders == 2);
 }
 
+// An order without a reply that was carried out late came on top of the hosts
+// ordered meanwhile.
+BOOST_AUTO_TEST_CASE(AnOrderWithoutAReplyCountsAsItMayStillBeCarriedOut) {
+  FleetFixture Fleet(3);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  Fleet.Sim.run(100ms);
+  std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  const HostName First = Orders.front().Host;
+  Fleet.Scheduler.handleReply(Orders.front(), false);
+  Fleet.publishHosts();
+  // The same order may be sent again; it is carried out once.
+  Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  BOOST_TEST(Orders.front().Host.Text == First.Text);
+  // The second order met the host being away already.
+  Fleet.Scheduler.handleRefusal(Orders.front(), *Fleet.Sim.JobDispatcher);
+  for (const HostOrder &Order : Fleet.decide()) {
+    BOOST_TEST(Order.Host.Text == First.Text);
+    Fleet.Scheduler.handleRefusal(Order, *Fleet.Sim.JobDispatcher);
+  }
+}
+
+// An order of an earlier leader that was carried out late wasn't counted.
+BOOST_AUTO_TEST_CASE(AnOrderOfAnEarlierLeaderCountsAsItMayStillBeCarriedOut) {
+  FleetFixture Fleet(2, false);
+  Fleet.Scheduler.setRecentOrders({Fleet.Hosts[0].Name});
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  Fleet.Sim.run(100ms);
+  BOOST_TEST(Fleet.decide().empty());
+  Fleet.Sim.run(4s);
+  BOOST_TEST(Fleet.decide().size() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(NoMoreTasksOfAStepAreInterruptedThanItsCallerAllows) {
   FleetFixture Fleet(3);
   Fleet.Sim.submit("a", longRunningJob(2));
