dispatch: Host lists tell that a worker is gone only if they have shown its incarnation

Its worker had restarted, reported and started the run; it was then cut off while two host lists in a row did not show the restarted worker yet, so its runs were declared lost though it ran on until its lease.

A worker that has reported now counts as gone only if a list has shown its incarnation before; otherwise its lease decides. A worker that a new leader has not reached yet is treated as before.

ARestartedWorkerIsNotGoneBeforeAHostListHasShownIt fails without the change.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -265,8 +265,12 @@
     if (Ids.contains(Id)) {
       Worker.ListsWithoutHost = 0;
       Worker.WasListed = true;
-    } else if ((Worker.IsUnresponsive || !Worker.HasReported) &&
-               ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
+      continue;
+    }
+    // Lists may lag behind the start of a worker that has reported.
+    const bool MayBeGone =
+        !Worker.HasReported || (Worker.IsUnresponsive && Worker.WasListed);
+    if (MayBeGone && ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
       handleWorkerGone(Worker, std::numeric_limits<std::int64_t>::max(),
                        "no host runs its worker any more");
       Worker.HasEnded = true;
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -341,6 +341,28 @@
 } // namespace
 
 // A run whose start got no reply was stopped, and its task was placed again.
+// Host lists that did not show a restarted worker yet made its runs count as
+// lost while it was cut off, and they ran twice.
+BOOST_AUTO_TEST_CASE(ARestartedWorkerIsNotGoneBeforeAHostListHasShownIt) {
+  Simulation Sim(2);
+  Sim.run(100ms);
+  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"});
+  Sim.Workers[0].crash(Sim.Time.now(), Sim.Observed);
+  Sim.run(500ms);
+  jobs::JobSpec Spec = simpleJob(1);
+  Spec.Steps.front().LongRunning = true;
+  Sim.submit("j", Spec);
+  Sim.run(500ms);
+  BOOST_REQUIRE(!Sim.Workers[0].runs().empty());
+  Sim.Workers[0].IsDown = true;
+  Sim.run(600ms);
+  Sim.JobDispatcher->setHostedWorkers({"w1"});
+  Sim.JobDispatcher->setHostedWorkers({"w1"});
+  Sim.run(20s);
+  BOOST_TEST(Sim.countStarts("j") == 2);
+  BOOST_TEST(Sim.violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(AStartWithoutAReplyIsRepeated) {
   for (const Duration RunDuration : {1000ms, 20ms}) {
     Simulation Sim(2);
