dispatch: A worker is cordoned from its registration on

A task was placed on a worker whose host had an open order: the worker had crashed, was forgotten, and registered again; the cordon came only with the next decision on hosts, up to 20 ms later. The dispatcher now keeps the cordons for workers that register later.

AWorkerIsCordonedFromItsRegistrationOn fails without the change.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -88,6 +88,7 @@
   Table = nullptr;
   Fenced = false;
   Workers.clear();
+  HostCordons.clear();
   RunCountsByJob.clear();
   ProposedTasks.clear();
   LateCompletions.clear();
@@ -238,7 +239,12 @@
 
 void Dispatcher::registerWorker(const std::string &Id,
                                 const WorkerRecord &Record) {
-  WorkerState &Worker = Workers[Id];
+  const auto [WorkerIt, IsNew] = Workers.try_emplace(Id);
+  WorkerState &Worker = WorkerIt->second;
+  if (const auto CordonIt = HostCordons.find(Id);
+      IsNew && CordonIt != HostCordons.end()) {
+    Worker.HostCordon = CordonIt->second;
+  }
   if (Record.Instance.Incarnation < Worker.Record.Instance.Incarnation) {
     return; // the worker has already reported a later incarnation
   }
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -310,6 +310,7 @@
     PlanNeeded = PlanNeeded || NewCordon != Worker.HostCordon;
     Worker.HostCordon = NewCordon;
   }
+  HostCordons = Cordons;
 }
 
 } // namespace balsamlatch::dispatch
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -324,6 +324,8 @@
   Instant NextPlanAt{};
   Instant NextForgetAt{};
   WorkerTable Workers;
+  // For workers that register later.
+  std::map<std::string, Cordon> HostCordons;
   // Invariant: the number of Runs of each job on each worker, where it isn't 0.
   std::unordered_map<JobId, std::map<std::string, unsigned>> RunCountsByJob;
   // Tasks with a proposed placement that is not recorded yet.
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -341,6 +341,23 @@
 } // namespace
 
 // A run whose start got no reply was stopped, and its task was placed again.
+// A worker that registered while an order for its host was open got work, which
+// was lost or ran twice.
+BOOST_AUTO_TEST_CASE(AWorkerIsCordonedFromItsRegistrationOn) {
+  Simulation Sim(1);
+  Sim.Registrations.emplace();
+  Sim.submit("a", simpleJob(1));
+  Sim.run(100ms);
+  Sim.JobDispatcher->setCordons({{"w0", Cordon::OrderPending}});
+  (*Sim.Registrations)["w0"] = Sim.Workers[0].Record;
+  Sim.RegistrationsChanged = true;
+  Sim.run(500ms);
+  BOOST_TEST(Sim.countStarts("a") == 0);
+  Sim.JobDispatcher->setCordons({});
+  Sim.run(500ms);
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
+
 // Host lists that did not show a restarted worker yet made its runs count as
 // lost while it was cut off, and they ran twice.
 BOOST_AUTO_TEST_CASE(ARestartedWorkerIsNotGoneBeforeAHostListHasShownIt) {
