--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -88,6 +88,7 @@
   Table = nullptr;
   Fenced = false;
   Workers.clear();
+  HostCordons.clear();
   RunCountsByJob.clear();
   ProposedTasks.clear();
   LateCompletions.clear();
@@ -239,7 +240,12 @@
 
 void Dispatcher::registerWorker(const std::string &Id,
                                 const WorkerRecord &Record) {
-  WorkerState &Worker = Workers[Id];
+  const auto [WorkerIt, IsNew] = Workers.try_emplace(Id);
+  WorkerState &Worker = WorkerIt->second;
+  if (const auto CordonIt = HostCordons.find(Id);
+      IsNew && CordonIt != HostCordons.end()) {
+    Worker.HostCordon = CordonIt->second;
+  }
   if (Record.Instance.Incarnation < Worker.Record.Instance.Incarnation ||
       Record.Instance.Incarnation == Worker.SupersededIncarnation) {
     return; // the worker has already reported a later incarnation
@@ -340,8 +346,9 @@
                              !Run->StopRequested &&
                              isCurrentRun(Event.Task, Event.Run) &&
                              OutcomeWithoutStart != RunOutcome::Done;
-  // The worker may have restarted while the event was being written.
-  if (!IsStillWanted || Worker.Record.Instance != Event.Worker) {
+  // The worker may have restarted or shrunk while the event was being written.
+  if (!IsStillWanted || Worker.Record.Instance != Event.Worker ||
+      !Worker.hasRoomForClaims()) {
     proposeEnd(Worker, Event.Task, *Run, OutcomeWithoutStart, {});
     return;
   }
@@ -444,6 +451,10 @@
              {"run", Run.Number},
              {"worker", Worker.Record.Instance.Id},
              {"how", runEndName(End)}});
+  if (jobs::isCrash(End)) {
+    // The worker may be the cause; a run on another one tells.
+    LastFailedWorker[Task] = Worker.Record.Instance.Id;
+  }
   releaseClaim(Worker, Run);
   WorkerOfEndingRun[Task] = Worker.Record.Instance.Id;
   Events.emplace_back(jobs::TaskEnded{Task, Run.Number, End, Checkpoint});
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -338,6 +338,8 @@
   Instant NextPlanAt{};
   Instant NextForgetAt{};
   WorkerTable Workers;
+  // For workers that register later.
+  std::map<std::string, Cordon> HostCordons;
   // Invariant: the number of Runs of each job on each worker, where it isn't 0.
   std::unordered_map<JobId, std::map<std::string, unsigned>> RunCountsByJob;
   // Tasks with a proposed placement that is not recorded yet.
@@ -348,8 +350,8 @@
   // milliseconds.
   std::map<QueueName, double> MeanWorkByQueue;
   std::set<JobId> OpenJobs;
-  // The worker on which the last run of a task failed or stalled, so that the
-  // next run prefers another one.
+  // The worker on which the last run of a task failed, stalled or met a crash,
+  // so that the next run prefers another one.
   std::map<TaskRef, std::string> LastFailedWorker;
   // Invariant: holds the IDs of all workers whose LastRecordedEnd is lower than
   // their LastSeenEnd.
