--- a/Tests/Control/CarrierSimulation.cpp
+++ b/Tests/Control/CarrierSimulation.cpp
@@ -18,6 +18,7 @@
 constexpr Duration LeaderTickPeriod = 10ms;
 constexpr Duration JournalDelay = 5ms;
 constexpr Duration WorkerStep = 5ms;
+constexpr Duration HostListPeriod = 1s;
 /// Leaders and carriers learn of a closed connection after this time.
 constexpr Duration RefusalDelay = 2ms;
 
@@ -28,9 +29,10 @@
 /// Sends orders from an entry, or from a leader.
 class CarrierSimulation::Port final : public WorkerPort {
 public:
-  /// \p Index is unset for a leader.
-  Port(CarrierSimulation &Simulation, std::optional<unsigned> Index)
-      : Sim(Simulation), EntryIndex(Index) {}
+  /// \p Index is unset for the leader of \p Term.
+  Port(CarrierSimulation &Simulation, std::optional<unsigned> Index,
+       std::uint64_t Term = 0)
+      : Sim(Simulation), EntryIndex(Index), LeaderTerm(Term) {}
 
   void renew(const dispatch::RenewOrder &Order,
              RenewCallback Callback) override {
@@ -77,24 +79,29 @@
       Delay += Sim.Entries[*EntryIndex].ExtraDelay;
       IsCut = Sim.Entries[*EntryIndex].IsCutFromWorkers;
     } else {
+      Sim.DirectOrders +=
+          Sim.isDown(dispatch::workerOf(Order).WorkerId) ? 0 : 1;
       ++Sim.LeaderCalls[toMilliseconds(Sim.Time.now().time_since_epoch()) /
                         1000];
     }
     Sim.callWorker(Order, Delay, IsCut, Reply);
   }
 
-  /// Runs the action later; a paused entry runs it once it goes on.
+  /// Runs the action later; a paused process runs it once it goes on.
   void receive(Duration Delay, std::function<void()> Action) {
     if (EntryIndex) {
       Sim.scheduleForEntry(*EntryIndex, Delay,
                            [Action = std::move(Action)](Entry &) { Action(); });
     } else {
-      Sim.schedule(Delay, std::move(Action));
+      Sim.scheduleForLeader(
+          Delay, LeaderTerm,
+          [Action = std::move(Action)](Leader &) { Action(); });
     }
   }
 
   CarrierSimulation &Sim;
   const std::optional<unsigned> EntryIndex;
+  const std::uint64_t LeaderTerm;
 };
 
 CarrierSimulation::CarrierSimulation(unsigned WorkerCount, unsigned EntryCount,
@@ -125,8 +132,10 @@
     Entries[Index].Port = std::make_unique<Port>(*this, Index);
     restartEntry(Index);
   }
+  ShownWorkers = Entries.empty() ? 0 : 1100;
   startLeader();
   tickLeaders();
+  sendHostLists();
 }
 
 void CarrierSimulation::schedule(Duration Delay, std::function<void()> Action) {
@@ -177,6 +186,7 @@
     EndedCarriers.push_back(std::move(Restarted.Carrier));
   }
   Restarted.Postponed.clear();
+  Restarted.IsLeaving = false;
   for (const auto &[Term, Call] : std::exchange(Restarted.OpenCalls, {})) {
     scheduleForLeader(RefusalDelay, Term, [Call = Call](Leader &Of) {
       Of.Pool->handleFailure(Call, false, "connection reset");
@@ -199,10 +209,85 @@
   ++Worker.Record.Address.Port;
 }
 
+void CarrierSimulation::endWorker(FakeWorker &Worker) {
+  Worker.endAll(Time.now(), Observed);
+  Worker.HasCrashed = true;
+  Worker.IsDown = true;
+}
+
+void CarrierSimulation::reviveWorker(FakeWorker &Worker) {
+  if (Worker.HasCrashed) {
+    crashWorker(Worker);
+  }
+  Worker.IsDown = false;
+}
+
+void CarrierSimulation::leaveEntry(unsigned Index) {
+  Entries[Index].IsLeaving = true;
+  Entries[Index].Carrier->setLeaving();
+}
+
+std::vector<EntryRecord> CarrierSimulation::registeredEntries() const {
+  std::vector<EntryRecord> Records;
+  for (const Entry &Each : Entries) {
+    if (Each.IsRegistered) {
+      Records.push_back(Each.Record);
+    }
+  }
+  return Records;
+}
+
+void CarrierSimulation::updateEntries() {
+  for (const std::unique_ptr<Leader> &Each : Leaders) {
+    if (Time.now() < Each->EndsAt) {
+      Each->Pool->setEntries(registeredEntries());
+    }
+  }
+}
+
+void CarrierSimulation::setShownWorkers(std::size_t Count) {
+  ShownWorkers = Count;
+  Leaders.back()->Pool->setWorkerCount(Count);
+}
+
+std::size_t CarrierSimulation::wantedCarriers() const {
+  constexpr std::size_t MinWorkers = 128;
+  constexpr std::size_t WorkersPerCarrier = 128;
+  constexpr std::size_t MaxCarriers = 16;
+  return ShownWorkers < MinWorkers
+             ? 0
+             : std::min(MaxCarriers, (ShownWorkers + WorkersPerCarrier - 1) /
+                                         WorkersPerCarrier);
+}
+
+void CarrierSimulation::pauseLeader(Duration Length) {
+  Leaders.back()->IsPaused = true;
+  schedule(Length, [this, Term = LastTerm] {
+    if (Leader *Of = findLeader(Term)) {
+      resume(*Of);
+    }
+  });
+}
+
+void CarrierSimulation::resume(Leader &Paused) {
+  Paused.IsPaused = false;
+  for (const auto &Action : std::exchange(Paused.Postponed, {})) {
+    Action();
+  }
+}
+
+const dispatch::Dispatcher &CarrierSimulation::dispatcher() const {
+  return *Leaders.back()->JobDispatcher;
+}
+
+CarrierLoad CarrierSimulation::takeLoad() {
+  return Leaders.back()->Pool->takeLoad();
+}
+
 void CarrierSimulation::startLeader() {
   auto New = std::make_unique<Leader>();
   New->Term = ++LastTerm;
-  New->DirectPort = std::make_unique<Port>(*this, std::nullopt);
+  New->DirectPort = std::make_unique<Port>(*this, std::nullopt, New->Term);
   New->Pool = std::make_unique<CarrierPool>(Time, Log, *New->DirectPort);
   New->Pool->OnCallsPending = [this, Term = New->Term] {
     scheduleForLeader(FlushDelay, Term, [this](Leader &Of) { flush(Of); });
@@ -215,12 +300,8 @@
   Leaders.push_back(std::move(New));
   Leader &Of = *Leaders.back();
   Of.Pool->begin(dispatch::FencingToken(Of.Term));
-  std::vector<EntryRecord> Records;
-  for (const Entry &Each : Entries) {
-    Records.push_back(Each.Record);
-  }
-  Of.Pool->setEntries(Records);
-  Of.Pool->setWorkerCount(Entries.empty() ? 0 : 1100);
+  Of.Pool->setEntries(registeredEntries());
+  Of.Pool->setWorkerCount(ShownWorkers);
 }
 
 void CarrierSimulation::changeLeader(Duration EarlierContinues,
@@ -233,10 +314,7 @@
     // It does what was due during the pause, and ends soon after.
     schedule(EarlierContinues - 50ms, [this, Term = Earlier.Term] {
       if (Leader *Of = findLeader(Term)) {
-        Of->IsPaused = false;
-        for (const auto &Action : std::exchange(Of->Postponed, {})) {
-          Action();
-        }
+        resume(*Of);
       }
     });
   }
@@ -248,7 +326,9 @@
   schedule(LeaderTickPeriod, [this] {
     std::map<std::string, dispatch::WorkerRecord> Registered;
     for (const FakeWorker &Worker : Workers) {
-      Registered.emplace(Worker.Record.Instance.Id, Worker.Record);
+      if (!Unregistered.contains(Worker.Record.Instance.Id)) {
+        Registered.emplace(Worker.Record.Instance.Id, Worker.Record);
+      }
     }
     for (const std::unique_ptr<Leader> &Each : Leaders) {
       if (!Each->IsPaused && Time.now() < Each->EndsAt) {
@@ -260,6 +340,24 @@
   });
 }
 
+void CarrierSimulation::sendHostLists() {
+  schedule(HostListPeriod, [this] {
+    if (HostListDelay) {
+      std::set<std::string> Hosted;
+      for (const FakeWorker &Worker : Workers) {
+        if (!Worker.HasCrashed) {
+          Hosted.insert(Worker.Record.Instance.Id);
+        }
+      }
+      scheduleForLeader(HostListDelay(), LastTerm,
+                        [Hosted = std::move(Hosted)](Leader &Of) {
+                          Of.JobDispatcher->setHostedWorkers(Hosted);
+                        });
+    }
+    sendHostLists();
+  });
+}
+
 void CarrierSimulation::tickLeader(Leader &Of) {
   Of.Pool->tick();
   Of.JobDispatcher->tick(!Of.RecordInFlight, true);
@@ -298,6 +396,12 @@
         To->JobDispatcher->handleStopReply(Stop, Outcome);
       }
     });
+  } else if (const auto *Pace = std::get_if<dispatch::PaceOrder>(&Order)) {
+    Of.Pool->pace(*Pace, [this, Term, Pace = *Pace](OrderOutcome Outcome) {
+      if (Leader *To = findLeader(Term)) {
+        To->JobDispatcher->handlePaceReply(Pace, Outcome);
+      }
+    });
   }
 }
 
@@ -317,7 +421,7 @@
     Of.Pool->handleFailure(Number, false, "no reply in time");
   });
   Entry &To = Entries[Index];
-  if (To.IsDown) {
+  if (To.IsDown || Call.Carrier != To.Record) {
     scheduleForLeader(RefusalDelay, Term, [Number](Leader &Of) {
       Of.Pool->handleFailure(Number, true, "connection refused");
     });
@@ -362,6 +466,9 @@
   if (LosesReply && LosesReply()) {
     Reply = [](OrderOutcome, const RenewReport &) {};
   }
+  if (OrderDelay) {
+    Delay += OrderDelay();
+  }
   const auto *Renew = std::get_if<dispatch::RenewOrder>(&Order);
   schedule(Delay,
            [this, Order, Reply = std::move(Reply),
@@ -435,11 +542,9 @@
       return; // the write is conditional on the term
     }
     Leader &Writer = *Leaders.back();
-    Writer.RecordInFlight = false;
     ++Sequence;
     for (const jobs::JobEvent &Event : Events) {
       Table.apply(Event, Sequence);
-      Writer.KnownJobs->apply(Event, Sequence);
       const jobs::Job *Job = Table.find(jobs::eventJobId(Event));
       if (std::holds_alternative<jobs::JobClosed>(Event) && Job != nullptr) {
         auto &ClosedAt = Job->Record.State == jobs::JobState::Completed
@@ -448,7 +553,18 @@
         ClosedAt.emplace(Job->id(), Time.now());
       }
     }
-    Writer.JobDispatcher->handleRecorded(Events);
+    auto Finish = [&Writer, Events, Written = Sequence] {
+      Writer.RecordInFlight = false;
+      for (const jobs::JobEvent &Event : Events) {
+        Writer.KnownJobs->apply(Event, Written);
+      }
+      Writer.JobDispatcher->handleRecorded(Events);
+    };
+    if (Writer.IsPaused) {
+      Writer.Postponed.emplace_back(std::move(Finish));
+    } else {
+      Finish();
+    }
   });
 }
 
--- a/Tests/Control/CarrierSimulation.h
+++ b/Tests/Control/CarrierSimulation.h
@@ -32,8 +32,29 @@
   /// The worker's process ends and another one is started at once, which
   /// refuses orders for the first one.
   void crashWorker(FakeWorker &Worker);
+  /// The worker's process ends, and isn't started again before reviveWorker().
+  void endWorker(FakeWorker &Worker);
+  void reviveWorker(FakeWorker &Worker);
+  bool isDown(const std::string &WorkerId) const {
+    return Workers[WorkerIndexes.at(WorkerId)].IsDown;
+  }
   /// The process ends and another one is started.
   void restartEntry(unsigned Index);
+  /// The process tells leaders that it is stopping.
+  void leaveEntry(unsigned Index);
+  /// Shows the leaders the entries that are registered now.
+  void updateEntries();
+  /// Shows the leaders that many workers for their choice of carriers.
+  void setShownWorkers(std::size_t Count);
+  /// The number of carriers that leaders should have if they are shown so many
+  /// workers, apart from the number of entries.
+  std::size_t wantedCarriers() const;
+  /// The current leader's process doesn't run for that long.
+  void pauseLeader(Duration Length);
+  const dispatch::Dispatcher &dispatcher() const;
+  /// The load of the current leader's carriers since the last call.
+  CarrierLoad takeLoad();
+  const std::map<jobs::JobId, jobs::JobSpec> &specs() const { return Specs; }
   std::vector<std::string> violations() const;
 
   ManualClock Time;
@@ -63,17 +84,30 @@
     Duration ExtraDelay{};
     /// Connections are refused.
     bool IsDown = false;
+    bool IsLeaving = false;
+    bool IsRegistered = true;
     std::vector<std::function<void()>> Postponed;
     /// Calls that the process may have read and has not answered, with the
     /// leader's term.
     std::set<std::pair<std::uint64_t, std::uint64_t>> OpenCalls;
+
+    /// Whether the leader can reach the entry.
+    bool isInReach() const { return !IsPaused && !IsDown && !IsCutFromLeader; }
   };
   std::vector<Entry> Entries;
   /// Whether the worker's reply to an order gets lost.
   std::function<bool()> LosesReply;
+  /// Added to the delay of an order to a worker.
+  std::function<Duration()> OrderDelay;
+  /// Time that host lists take to reach the leader; unset for no lists.
+  std::function<Duration()> HostListDelay;
+  /// Workers whose registrations have expired, by ID.
+  std::set<std::string> Unregistered;
 
   /// Calls that the leaders made, by second.
   std::map<std::int64_t, std::size_t> LeaderCalls;
+  /// Orders that leaders sent themselves to workers that were up.
+  std::size_t DirectOrders = 0;
 
 private:
   class Port;
@@ -98,8 +132,11 @@
                         std::function<void(Entry &)> Action);
   Leader *findLeader(std::uint64_t Term);
   void startLeader();
+  std::vector<EntryRecord> registeredEntries() const;
+  static void resume(Leader &Paused);
   void tickLeaders();
   void tickLeader(Leader &Of);
+  void sendHostLists();
   void flush(Leader &Of);
   void callCarrier(std::uint64_t Term, const CarrierCall &Call);
   void sendOrder(Leader &Of, const dispatch::WorkerOrder &Order);
@@ -123,6 +160,7 @@
   std::uint64_t LastTerm = 0;
   std::int64_t LastProcess = 0;
   std::uint64_t Sequence = 0;
+  std::size_t ShownWorkers = 0;
 };
 
 } // namespace balsamlatch::control::test
