--- a/Tests/Dispatch/FleetChecker.cpp
+++ b/Tests/Dispatch/FleetChecker.cpp
@@ -35,9 +35,9 @@
   }
 }
 
-void FleetSimulation::addViolation(std::string Text) {
+void FleetSimulation::addTo(std::vector<std::string> &List, std::string Text) {
   echo("model-violation", {{"what", Text}});
-  Violations.push_back(fmt::format(
+  List.push_back(fmt::format(
       "{} at {} ms", Text, toMilliseconds(Sim.Time.now().time_since_epoch())));
 }
 
@@ -123,8 +123,8 @@
   }
   if (!CrashingJobs.contains(Job.id()) &&
       (Job.spec().hasLongRunningStep() || MostFailures < MaxAttempts)) {
-    addViolation(
-        fmt::format("{} is shown as failed without cause", Job.id().Text));
+    addTo(JobViolations,
+          fmt::format("{} is shown as failed without cause", Job.id().Text));
   }
 }
 
@@ -157,8 +157,9 @@
       }
       const std::vector<std::string> WithRoom = workersWithRoom(Task, Spec);
       if (WithRoom.size() >= 2) {
-        addViolation(fmt::format("END: {} is never done, with room on {}",
-                                 taskName(Task), fmt::join(WithRoom, ", ")));
+        addTo(JobViolations,
+              fmt::format("END: {} is never done, with room on {}",
+                          taskName(Task), fmt::join(WithRoom, ", ")));
         return;
       }
       std::map<PoolName, unsigned> HostCounts;
@@ -169,9 +170,10 @@
         if (Other.Name != PoolOfJob.at(Task.Job) && isPoolIdle(Other.Name) &&
             HostCounts[Other.Name] >
                 (Other.Standby ? 0 : HostCounts[PoolOfJob.at(Task.Job)])) {
-          addViolation(fmt::format(
-              "END: {} is never done, and pool {} keeps {} idle hosts",
-              taskName(Task), Other.Name.Text, HostCounts[Other.Name]));
+          addTo(JobViolations,
+                fmt::format(
+                    "END: {} is never done, and pool {} keeps {} idle hosts",
+                    taskName(Task), Other.Name.Text, HostCounts[Other.Name]));
         }
       }
       return; // all later tasks wait for this one or for room like it
--- a/Tests/Dispatch/FleetSimulation.h
+++ b/Tests/Dispatch/FleetSimulation.h
@@ -75,6 +75,8 @@
   Simulation Sim;
   std::vector<FleetHost> Hosts;
   std::vector<std::string> Violations;
+  /// Jobs that don't end, or that are shown as failed without cause.
+  std::vector<std::string> JobViolations;
   /// Draws the fate of an order to a host; unset if all are carried out.
   std::function<OrderFate()> Fate;
   /// Called when an order to a host is sent.
@@ -158,7 +160,8 @@
   bool hasRoom(const FakeWorker &Worker, const TaskRef &Task,
                const jobs::StepSpec &Step) const;
   Instant lastRunEnd(const TaskRef &Task) const;
-  void addViolation(std::string Text);
+  void addViolation(std::string Text) { addTo(Violations, std::move(Text)); }
+  void addTo(std::vector<std::string> &List, std::string Text);
   void echo(std::string_view Reason, const boost::json::object &Fields);
 
   std::unique_ptr<HostScheduler> Scheduler;
