--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -14,6 +14,8 @@
 
 /// Time for which a host takes work again after a drain that was given up.
 constexpr Duration DrainRetryDelay = std::chrono::seconds(3);
+/// The delay doubles so often with each drain of the host that was given up.
+constexpr unsigned MaxDrainDoublings = 3;
 /// Estimated time from the start of the drain of a host to its return.
 constexpr Duration HostCycleEstimate = std::chrono::seconds(6);
 
@@ -334,7 +336,10 @@
       // The step may need this host to bring its missing tasks back, and until
       // then no further task may be interrupted.
       ActiveWave.DrainingSince.erase(DrainIt);
-      ActiveWave.NextDrainAt[Host->Name] = Now + DrainRetryDelay;
+      unsigned &Failures = ActiveWave.FailedDrains[Host->Name];
+      ActiveWave.NextDrainAt[Host->Name] =
+          Now + DrainRetryDelay * (1U << std::min(Failures, MaxDrainDoublings));
+      ++Failures;
       continue;
     }
     if (DrainIt == ActiveWave.DrainingSince.end() &&
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -122,6 +122,8 @@
     std::map<HostName, UnconfirmedOrder> UnconfirmedOrders;
     // Draining hosts, and the start of their drain.
     std::map<HostName, Instant> DrainingSince;
+    // Drains that were given up, by host.
+    std::map<HostName, unsigned> FailedDrains;
     // Hosts whose drain was given up, and when they may drain again.
     std::map<HostName, Instant> NextDrainAt;
     // Hosts whose order took effect, and when that was seen.
