--- a/Source/Dispatch/DelayedTasks.cpp
+++ b/Source/Dispatch/DelayedTasks.cpp
@@ -19,9 +19,32 @@
 /// A run whose worker has not reported for this long may not be running.
 constexpr Duration MaxReportAge = std::chrono::seconds(2);
 
-constexpr std::array ExclusionNames = {
-    "usable",   "unregistered", "unreported", "unresponsive",
-    "cordoned", "draining",     "avoided"};
+/// All exclusions, in the order of the report.
+constexpr std::array Exclusions = {
+    WorkerExclusion::None,        WorkerExclusion::NotRegistered,
+    WorkerExclusion::NotReported, WorkerExclusion::Unresponsive,
+    WorkerExclusion::Cordoned,    WorkerExclusion::Draining,
+    WorkerExclusion::Avoided};
+
+std::string_view exclusionName(WorkerExclusion Exclusion) {
+  switch (Exclusion) {
+  case WorkerExclusion::None:
+    return "usable";
+  case WorkerExclusion::NotRegistered:
+    return "unregistered";
+  case WorkerExclusion::NotReported:
+    return "unreported";
+  case WorkerExclusion::Unresponsive:
+    return "unresponsive";
+  case WorkerExclusion::Cordoned:
+    return "cordoned";
+  case WorkerExclusion::Draining:
+    return "draining";
+  case WorkerExclusion::Avoided:
+    return "avoided";
+  }
+  return "unknown";
+}
 
 std::string_view phaseName(RunPhase Phase) {
   switch (Phase) {
@@ -140,7 +163,7 @@
     }
   }
   // Workers with room for a task of the step, by what keeps them from it.
-  std::array<unsigned, ExclusionNames.size()> WithRoom{};
+  std::map<WorkerExclusion, unsigned> WithRoom;
   unsigned Unsuitable = 0;
   unsigned Reserved = 0;
   unsigned PoolWorkers = 0;
@@ -156,22 +179,21 @@
     if (!Claim.fitsInto(Worker.freeResources())) {
       continue;
     }
-    if (Worker.exclusionAt(Now) != WorkerExclusion::None) {
-      ++WithRoom[static_cast<std::size_t>(Worker.exclusionAt(Now))];
-    } else if (!canTake(Worker, Spec, Delayed.Oldest)) {
+    const WorkerExclusion Exclusion = Worker.exclusionAt(Now);
+    if (!canTake(Worker, Spec, Delayed.Oldest)) {
       ++Unsuitable;
-    } else if (Worker.IsReserved) {
+    } else if (Exclusion == WorkerExclusion::None && Worker.IsReserved) {
       ++Reserved;
     } else {
-      ++WithRoom.front();
+      ++WithRoom[Exclusion];
     }
   }
   Fields["pool"] = Pool.Text;
   Fields["pool_workers"] = PoolWorkers;
   Fields["unsuitable"] = Unsuitable;
   Fields["reserved"] = Reserved;
-  for (std::size_t Index = 0; Index < WithRoom.size(); ++Index) {
-    Fields[ExclusionNames[Index]] = WithRoom[Index];
+  for (const WorkerExclusion Exclusion : Exclusions) {
+    Fields[exclusionName(Exclusion)] = WithRoom[Exclusion];
   }
   Log.write(LogLevel::Info, "tasks-delayed", std::move(Fields));
 }
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -977,7 +977,8 @@
   BOOST_TEST(Line.at("state").as_string() == "waiting");
   BOOST_TEST(Line.at("tasks").as_uint64() == 1);
   BOOST_TEST(Line.at("delayed_ms").as_int64() >= 2000);
-  BOOST_TEST(Line.at("cordoned").as_uint64() == 3);
+  BOOST_TEST(Line.at("cordoned").as_uint64() == 2);
+  BOOST_TEST(Line.at("unsuitable").as_uint64() == 1);
   BOOST_TEST(Line.at("usable").as_uint64() == 0);
 }
 
