--- a/Tests/Dispatch/CapacityTest.cpp
+++ b/Tests/Dispatch/CapacityTest.cpp
@@ -67,3 +67,24 @@
   BOOST_TEST((Sim.job("lost").Record.State == jobs::JobState::Completed));
   BOOST_TEST(Sim.Observed.Overloads.empty());
 }
+
+// Starts without replies were repeated on a worker that had shrunk meanwhile.
+BOOST_AUTO_TEST_CASE(AStartIsNotRepeatedOnAWorkerThatHasShrunk) {
+  Simulation Sim(1);
+  Sim.run(100ms);
+  unsigned Starts = 0;
+  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+    // Two orders for each of the four tasks don't arrive in the test's time.
+    return std::holds_alternative<StartOrder>(Order) && ++Starts <= 8
+               ? std::optional<Duration>(1h)
+               : std::nullopt;
+  };
+  Sim.submit("j", simpleJob(4));
+  while (Starts < 4) {
+    Sim.run(5ms);
+  }
+  Sim.setCapacity(Sim.Workers[0], HalfCapacity);
+  Sim.run(20s);
+  BOOST_TEST(Sim.Observed.Overloads.empty());
+  BOOST_TEST((Sim.job("j").Record.State == jobs::JobState::Completed));
+}
