--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -367,8 +367,7 @@
     return;
   case OrderOutcome::Unknown:
     if (Run->StartAttempts < MaxStartAttempts && !Run->StopRequested &&
-        Worker.hasRoomForClaims() &&
-        isCurrentRun(Order.Task, Order.Run)) {
+        Worker.hasRoomForClaims() && isCurrentRun(Order.Task, Order.Run)) {
       sendStart(Worker, Order.Task, *Run);
     } else {
       leaveStartUncertain(Worker, *Run);
--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -275,6 +275,15 @@
   return static_cast<unsigned>((HostsLeft + CyclesLeft - 1) / CyclesLeft);
 }
 
+void HostScheduler::giveUpDrain(Wave &ActiveWave, const HostName &Name) {
+  ActiveWave.DrainingSince.erase(Name);
+  unsigned &Failures = ActiveWave.FailedDrains[Name];
+  ActiveWave.NextDrainAt[Name] =
+      Time.now() +
+      DrainRetryDelay * (1U << std::min(Failures, MaxDrainDoublings));
+  ++Failures;
+}
+
 void HostScheduler::decideWave(Wave &ActiveWave, Dispatcher &JobDispatcher,
                                const jobs::JobTable &Jobs,
                                std::vector<HostDecision> &Decisions) {
@@ -335,11 +344,7 @@
     if (IsOverdue && !MayInterrupt) {
       // The step may need this host to bring its missing tasks back, and until
       // then no further task may be interrupted.
-      ActiveWave.DrainingSince.erase(DrainIt);
-      unsigned &Failures = ActiveWave.FailedDrains[Host->Name];
-      ActiveWave.NextDrainAt[Host->Name] =
-          Now + DrainRetryDelay * (1U << std::min(Failures, MaxDrainDoublings));
-      ++Failures;
+      giveUpDrain(ActiveWave, Host->Name);
       continue;
     }
     if (DrainIt == ActiveWave.DrainingSince.end() &&
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -154,6 +154,8 @@
   /// term began.
   bool isInHandover(const HostName &Name) const;
   std::set<std::string> workersInHandover() const;
+  /// Ends the drain of a host for some time, which grows with each time.
+  void giveUpDrain(Wave &ActiveWave, const HostName &Name);
   void decideWave(Wave &ActiveWave, Dispatcher &JobDispatcher,
                   const jobs::JobTable &Jobs,
                   std::vector<HostDecision> &Decisions);
