dispatch: Host lists count against a worker from two seconds after its start

Host lists no longer ended a worker that none of them had shown. Suspects run on workers that have just started, so their crashes were found by the lease only, 4.4 s later, and never confirmed, which counts nothing (traced with deadly-task: five runs end as lost by the lease, each report_age_ms 4360 to 4385).

A worker that was not listed yet counts as gone by lists from 2 s after its incarnation became known: the lag that allows for is over then. ARestartedWorkerIsNotGoneBeforeAHostListHasShownIt still holds; ACrashingTaskIsGivenUpOnWorkersThatWereNeverListed fails with a lag of 2 h.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -22,6 +22,8 @@
 /// Consecutive host lists without a worker after which the worker counts as
 /// ended. A single list may have been taken before the worker started.
 constexpr unsigned MinListsWithoutHost = 2;
+/// A host list shows a worker this long after its start at the latest.
+constexpr Duration MaxHostListLag = std::chrono::seconds(2);
 /// Replies count as getting lost for this long after a lost one.
 constexpr Duration LossyTime = std::chrono::seconds(3);
 /// A worker that so many host lists still show is out of reach, but not gone.
@@ -268,8 +270,11 @@
       continue;
     }
     // Lists may lag behind the start of a worker that has reported.
+    const bool IsListable =
+        Worker.WasListed ||
+        Time.now() - Worker.IncarnationLearntAt > MaxHostListLag;
     const bool MayBeGone =
-        !Worker.HasReported || (Worker.IsUnresponsive && Worker.WasListed);
+        !Worker.HasReported || (Worker.IsUnresponsive && IsListable);
     if (MayBeGone && ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
       handleWorkerGone(Worker, std::numeric_limits<std::int64_t>::max(),
                        "no host runs its worker any more");
--- a/Tests/Dispatch/CrashingTaskTest.cpp
+++ b/Tests/Dispatch/CrashingTaskTest.cpp
@@ -49,6 +49,22 @@
   BOOST_TEST(Sim.violations().empty());
 }
 
+// The crashes of workers that no host list had shown yet didn't count, and a
+// deadly task took down worker after worker.
+BOOST_AUTO_TEST_CASE(ACrashingTaskIsGivenUpOnWorkersThatWereNeverListed) {
+  Simulation Sim(8);
+  Sim.CrashDownTime = 1h;
+  Sim.run(3s);
+  addDeadlyJob(Sim, simpleJob(1));
+  for (int Round = 0; Round < 120; ++Round) {
+    Sim.run(250ms);
+    Sim.JobDispatcher->setHostedWorkers({});
+  }
+  BOOST_TEST((Sim.job("deadly").Record.State == jobs::JobState::Failed));
+  BOOST_TEST(countCrashes(Sim) <= 3);
+  BOOST_TEST(Sim.violations().empty());
+}
+
 // The tasks beside a deadly task were placed with it again and lost again.
 BOOST_AUTO_TEST_CASE(TasksBesideACrashingTaskAreLostOnce) {
   Simulation Sim(3);
