dispatch: A host order no longer takes passes over the fleet

An order cordons its own worker, the decision sets all cordons once at its end as before, and each host is ranked once. The time is asked for once a host list.

AHostOrderCostsTheSameInALargeFleet fails with the earlier call.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -262,6 +262,7 @@
 }
 
 void Dispatcher::setHostedWorkers(const std::set<std::string> &Ids) {
+  const Instant Now = Time.now();
   for (auto &[Id, Worker] : Workers) {
     Worker.ListsWhileUnresponsive += Worker.IsUnresponsive ? 1 : 0;
     if (Ids.contains(Id)) {
@@ -271,8 +272,7 @@
     }
     // Lists may lag behind the start of a worker that has reported.
     const bool IsListable =
-        Worker.WasListed ||
-        Time.now() - Worker.IncarnationLearntAt > MaxHostListLag;
+        Worker.WasListed || Now - Worker.IncarnationLearntAt > MaxHostListLag;
     const bool MayBeGone =
         !Worker.HasReported || (Worker.IsUnresponsive && IsListable);
     if (MayBeGone && ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
@@ -324,4 +324,12 @@
   HostCordons = Cordons;
 }
 
+void Dispatcher::addCordon(const std::string &WorkerId, Cordon NewCordon) {
+  HostCordons[WorkerId] = NewCordon;
+  if (const auto It = Workers.find(WorkerId); It != Workers.end()) {
+    PlanNeeded = PlanNeeded || NewCordon != It->second.HostCordon;
+    It->second.HostCordon = NewCordon;
+  }
+}
+
 } // namespace balsamlatch::dispatch
--- a/Source/Dispatch/HostOrders.cpp
+++ b/Source/Dispatch/HostOrders.cpp
@@ -25,7 +25,7 @@
   OpenOrders[Order.Host] = Order;
   OrderedAt[Order.Host] = Time.now();
   // The next order must count the tasks on this worker as unavailable.
-  JobDispatcher.setCordons(cordons());
+  JobDispatcher.addCordon(Order.WorkerId, Cordon::OrderPending);
   Decisions.emplace_back(std::move(Order));
 }
 
--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -65,6 +65,20 @@
   return Unavailable;
 }
 
+/// A host that a wave may order, and what decides when.
+struct RankedHost {
+  /// No order for it may have been carried out: such an order is repeated
+  /// before others are issued.
+  bool IsSurelyPresent = true;
+  bool IsNotDraining = true;
+  std::int64_t ClaimedCpuMilli = 0;
+  const HostRecord *Host = nullptr;
+
+  auto rank() const {
+    return std::make_tuple(IsSurelyPresent, IsNotDraining, ClaimedCpuMilli);
+  }
+};
+
 /// Whether taking the worker down would not cut off a run that ends by itself.
 bool hasOnlyLongRunningTasks(const WorkerState *Worker) {
   return Worker == nullptr ||
@@ -288,7 +302,7 @@
                                const jobs::JobTable &Jobs,
                                std::vector<HostDecision> &Decisions) {
   const Instant Now = Time.now();
-  std::vector<const HostRecord *> AvailableHosts;
+  std::vector<RankedHost> AvailableHosts;
   std::size_t HostsLeft = 0;
   for (const HostName &Name : ActiveWave.Request.Hosts) {
     const HostRecord *Host = find(Name);
@@ -298,35 +312,31 @@
     ++HostsLeft;
     if (Host->Status == HostStatus::Up && !hasPendingOrder(Name) &&
         !MovingHosts.contains(Name) && !isInHandover(Name)) {
-      AvailableHosts.push_back(Host);
+      AvailableHosts.push_back({!mayBeAway(ActiveWave, Name),
+                                !ActiveWave.DrainingSince.contains(Name),
+                                claimedCpuMilli(*Host, JobDispatcher), Host});
     }
   }
   if (HostsLeft == 0) {
     Decisions.emplace_back(WaveCompleted{ActiveWave.Request.Number});
     return;
   }
-  // An order that may have been carried out is repeated before others are
-  // issued.
-  const auto Rank = [&](const HostRecord *Host) {
-    return std::make_tuple(!mayBeAway(ActiveWave, Host->Name),
-                           !ActiveWave.DrainingSince.contains(Host->Name),
-                           claimedCpuMilli(*Host, JobDispatcher));
-  };
   std::stable_sort(AvailableHosts.begin(), AvailableHosts.end(),
-                   [&](const HostRecord *Left, const HostRecord *Right) {
-                     return Rank(Left) < Rank(Right);
+                   [](const RankedHost &Left, const RankedHost &Right) {
+                     return Left.rank() < Right.rank();
                    });
   unsigned AwayCount = countAway(ActiveWave);
   const unsigned MaxDrains = std::min(desiredDrains(ActiveWave, HostsLeft),
                                       ActiveWave.Request.MaxAway);
-  for (const HostRecord *Host : AvailableHosts) {
+  for (const RankedHost &Ranked : AvailableHosts) {
+    const HostRecord *Host = Ranked.Host;
     const WorkerState *Worker = findHostWorker(*Host, JobDispatcher);
     const auto DrainIt = ActiveWave.DrainingSince.find(Host->Name);
     const bool IsOverdue = DrainIt != ActiveWave.DrainingSince.end() &&
                            Now - DrainIt->second > Settings.DrainTimeout;
     const bool MayInterrupt =
         Worker == nullptr || canInterrupt(*Worker, JobDispatcher, Jobs);
-    const unsigned OwnCount = mayBeAway(ActiveWave, Host->Name) ? 1 : 0;
+    const unsigned OwnCount = Ranked.IsSurelyPresent ? 0 : 1;
     if (AwayCount - OwnCount < ActiveWave.Request.MaxAway && MayInterrupt &&
         (hasOnlyLongRunningTasks(Worker) || IsOverdue)) {
       issueOrder({Host->Name, Host->WorkerId, ActiveWave.Request.Number, {}},
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -133,6 +133,8 @@
   DispatchBacklog backlog() const;
   /// Cordons these workers, by ID, and no others.
   void setCordons(const std::map<std::string, Cordon> &Cordons);
+  /// Cordons one more worker until the next setCordons().
+  void addCordon(const std::string &WorkerId, Cordon NewCordon);
   /// Marks these workers, by ID, and no others as HostMayBeOrdered.
   void setPossiblyOrdered(const std::set<std::string> &WorkerIds);
   /// Stops the run of the task on the worker, so that the task is placed again.
--- a/Tests/PlatformAdapter/FleetSizeTest.cpp
+++ b/Tests/PlatformAdapter/FleetSizeTest.cpp
@@ -6,6 +6,8 @@
 #include "../Dispatch/Simulation.h"
 #include "WorkerRegistrations.h"
 
+#include "balsamlatch/Dispatch/HostScheduler.h"
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
@@ -90,8 +92,46 @@
   });
 }
 
+/// Time that a decision takes for 400 host orders.
+double timeToOrderHosts(unsigned HostCount) {
+  constexpr unsigned Orders = 400;
+  dispatch::test::Simulation Sim(HostCount);
+  Sim.run(100ms);
+  std::vector<dispatch::HostRecord> Hosts;
+  dispatch::WaveRequest Wave{1, {}, 30s, 0};
+  for (unsigned Number = 0; Number < Orders; ++Number) {
+    dispatch::HostRecord &Host = Hosts.emplace_back();
+    Host.Name = HostName(fmt::format("h{}", Number));
+    Host.WorkerId = fmt::format("w{}", Number % HostCount);
+    Wave.Hosts.push_back(Host.Name);
+  }
+  dispatch::HostScheduler Scheduler(Sim.Time, dispatch::HostSchedulerOptions(),
+                                    Sim.Log);
+  const auto TimeToDecide = [&](unsigned MaxAway) {
+    Wave.MaxAway = MaxAway;
+    return secondsFor([&] {
+      Scheduler.begin();
+      Scheduler.setRecentOrders({});
+      Scheduler.setHosts(Hosts, *Sim.JobDispatcher);
+      Scheduler.addWave(Wave);
+      BOOST_REQUIRE(
+          Scheduler.decide(*Sim.JobDispatcher, Sim.Table, *Sim.Config).size() ==
+          MaxAway);
+    });
+  };
+  return TimeToDecide(Orders) - TimeToDecide(1);
+}
+
 } // namespace
 
+// Each order for a host took a pass over all workers.
+BOOST_AUTO_TEST_CASE(AHostOrderCostsTheSameInALargeFleet) {
+  const double Small = timeToOrderHosts(SmallFleet);
+  const double Large = timeToOrderHosts(LargeFleet);
+  BOOST_TEST_MESSAGE("host orders: " << Small << " s and " << Large << " s");
+  BOOST_TEST(Large <= MaxGrowth * Small);
+}
+
 // Each end of a job took a pass over all runs on all workers, 36 % of the
 // leader's processor time in a turn.
 BOOST_AUTO_TEST_CASE(AnEndOfAJobCostsTheSameInALargeFleet) {
