dispatch: Simpler shares of pools, and no state outside of a planning pass

limitToFairShares() kept the pools' floors in a vector beside the pools; they are computed where they are used. The hosts that a pool lacks in a pass live with the pass's workers, not in the dispatcher. isLastResort() states its condition once. DelayedTasks uses findRun() instead of a search of its own.

--- a/Source/Dispatch/DelayedTasks.cpp
+++ b/Source/Dispatch/DelayedTasks.cpp
@@ -62,16 +62,6 @@
   return "unknown";
 }
 
-const RunState *findTrackedRun(const WorkerTable &Workers, const TaskRef &Task,
-                               const TaskRecord &Record) {
-  const auto WorkerIt = Workers.find(Record.Worker.Id);
-  if (WorkerIt == Workers.end()) {
-    return nullptr;
-  }
-  const auto RunIt = WorkerIt->second.Runs.find(Task);
-  return RunIt == WorkerIt->second.Runs.end() ? nullptr : &RunIt->second;
-}
-
 } // namespace
 
 /// Tasks of one step that are not known to run.
@@ -89,7 +79,7 @@
   if (Record == nullptr || Record->Phase != TaskPhase::Placed) {
     return false;
   }
-  const RunState *Run = findTrackedRun(Workers, Task, *Record);
+  const RunState *Run = findRun(Record->Worker.Id, Task, Record->Run);
   if (Run == nullptr || Run->Phase != RunPhase::Running) {
     return false;
   }
@@ -106,7 +96,7 @@
            : ClosingJobs.contains(Task.Job)   ? "job-closing"
                                               : "waiting";
   }
-  const RunState *Run = findTrackedRun(Workers, Task, *Record);
+  const RunState *Run = findRun(Record->Worker.Id, Task, Record->Run);
   return Run == nullptr ? "untracked" : phaseName(Run->Phase);
 }
 
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -5,6 +5,7 @@
 #include "balsamlatch/Dispatch/Dispatcher.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace balsamlatch::dispatch {
 
@@ -102,7 +103,6 @@
   UnplacedSince.clear();
   DelayedSince.clear();
   RequiredHosts.clear();
-  UnplacedByPool.clear();
   Permits.clear();
   Queries.clear();
   QueriesInFlight.clear();
@@ -594,6 +594,13 @@
 
 RunState *Dispatcher::findRun(const std::string &WorkerId, const TaskRef &Task,
                               std::uint32_t Run) {
+  return const_cast<RunState *>(
+      std::as_const(*this).findRun(WorkerId, Task, Run));
+}
+
+const RunState *Dispatcher::findRun(const std::string &WorkerId,
+                                    const TaskRef &Task,
+                                    std::uint32_t Run) const {
   const auto WorkerIt = Workers.find(WorkerId);
   if (WorkerIt == Workers.end()) {
     return nullptr;
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -42,6 +42,11 @@
   Resources LargestFree;
   /// Claims that no worker had room for.
   std::vector<Resources> RefusedClaims;
+  /// Hosts that the pool lacks for the resources of its unplaced tasks.
+  unsigned LackingForResources = 0;
+  /// Hosts that it lacks for the step that needs the most of them, since one
+  /// worker takes only so many of its tasks. Steps share these hosts.
+  unsigned LackingForSpread = 0;
   /// Other work is kept from some of the workers.
   bool IsLastResort = false;
   /// Workers whose hosts drain for maintenance may be used.
@@ -216,7 +221,6 @@
   const std::map<StepRef, Instant> UnplacedBefore =
       std::exchange(UnplacedSince, {});
   RequiredHosts.clear();
-  UnplacedByPool.clear();
   for (const WaitingStep &Candidate : Candidates) {
     const auto UnplacedIt = UnplacedBefore.find(stepOf(Candidate.task(0)));
     const Instant WaitingSince =
@@ -330,7 +334,7 @@
 
 void Dispatcher::recordUnplaced(const WaitingStep &Candidate,
                                 std::size_t UnplacedTasks, Instant WaitingSince,
-                                const UsableWorkers &Pool) {
+                                UsableWorkers &Pool) {
   if (Pool.Workers.empty() || Time.now() - WaitingSince < UnplacedDelay) {
     return;
   }
@@ -343,17 +347,16 @@
   const auto HostsFor = [UnplacedTasks](std::size_t TasksPerHost) {
     return static_cast<unsigned>((UnplacedTasks - 1) / TasksPerHost + 1);
   };
-  UnplacedHosts &Hosts = UnplacedByPool[*Candidate.Pool];
-  Hosts.ForResources += HostsFor(static_cast<std::size_t>(
+  Pool.LackingForResources += HostsFor(static_cast<std::size_t>(
       std::min(FitCount(Claim.CpuMilli, HostCapacity.CpuMilli),
                FitCount(Claim.MemoryMb, HostCapacity.MemoryMb))));
   if (Candidate.spec().MaxPerWorker > 0) {
-    Hosts.ForSpread =
-        std::max(Hosts.ForSpread, HostsFor(Candidate.spec().MaxPerWorker));
+    Pool.LackingForSpread = std::max(Pool.LackingForSpread,
+                                     HostsFor(Candidate.spec().MaxPerWorker));
   }
   RequiredHosts[*Candidate.Pool] =
       static_cast<unsigned>(Pool.Workers.size()) +
-      std::max(Hosts.ForResources, Hosts.ForSpread);
+      std::max(Pool.LackingForResources, Pool.LackingForSpread);
 }
 
 std::size_t Dispatcher::placeStep(const WaitingStep &Candidate,
--- a/Source/Dispatch/PoolPlanner.cpp
+++ b/Source/Dispatch/PoolPlanner.cpp
@@ -91,22 +91,18 @@
   }
 }
 
-/// Hosts that each pool keeps when the hosts are shared, in the order of the
-/// pools; and their sum.
-struct Reservations {
-  std::vector<std::uint64_t> Hosts;
-  std::uint64_t Sum = 0;
-};
+/// Hosts that the pool keeps when the hosts are shared.
+unsigned reservedHosts(const PoolPlanner::Balance &Pool, unsigned MinHosts) {
+  return std::min(Pool.DesiredHosts, std::max(MinHosts, Pool.FixedHosts));
+}
 
-Reservations reserveHosts(const PoolPlanner::Balances &PoolBalances,
-                          unsigned MinHosts) {
-  Reservations Result;
+std::uint64_t sumOfReservedHosts(const PoolPlanner::Balances &PoolBalances,
+                                 unsigned MinHosts) {
+  std::uint64_t Sum = 0;
   for (const auto &[Name, Pool] : PoolBalances) {
-    Result.Hosts.push_back(
-        std::min(Pool.DesiredHosts, std::max(MinHosts, Pool.FixedHosts)));
-    Result.Sum += Result.Hosts.back();
+    Sum += reservedHosts(Pool, MinHosts);
   }
-  return Result;
+  return Sum;
 }
 
 /// Shares the hosts in proportion to what the pools desire if they desire more
@@ -122,23 +118,22 @@
   if (Desired <= Available) {
     return;
   }
-  Reservations Reserved = reserveHosts(PoolBalances, MinHosts);
-  if (Reserved.Sum >= Available) {
-    Reserved = reserveHosts(PoolBalances, 0); // pools may be without a host
+  if (sumOfReservedHosts(PoolBalances, MinHosts) >= Available) {
+    MinHosts = 0; // pools may be without a host
   }
-  if (Reserved.Sum >= Available) {
+  const std::uint64_t Reserved = sumOfReservedHosts(PoolBalances, MinHosts);
+  if (Reserved >= Available) {
     return;
   }
-  std::uint64_t Left = Available - Reserved.Sum;
+  std::uint64_t Left = Available - Reserved;
   // Pools by what rounding takes from their share.
   std::multimap<std::uint64_t, PoolPlanner::Balance *, std::greater<>> ByRest;
-  auto FloorIt = Reserved.Hosts.begin();
   for (auto &[Name, Pool] : PoolBalances) {
-    const std::uint64_t Floor = *FloorIt++;
+    const std::uint64_t Floor = reservedHosts(Pool, MinHosts);
     const std::uint64_t Share =
-        (Pool.DesiredHosts - Floor) * (Available - Reserved.Sum);
-    const std::uint64_t Whole = Share / (Desired - Reserved.Sum);
-    ByRest.emplace(Share % (Desired - Reserved.Sum), &Pool);
+        (Pool.DesiredHosts - Floor) * (Available - Reserved);
+    const std::uint64_t Whole = Share / (Desired - Reserved);
+    ByRest.emplace(Share % (Desired - Reserved), &Pool);
     Pool.DesiredHosts = static_cast<unsigned>(Floor + Whole);
     Left -= Whole;
   }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -158,6 +158,8 @@
   /// Null if the task has no run with this number on the worker.
   RunState *findRun(const std::string &WorkerId, const TaskRef &Task,
                     std::uint32_t Run);
+  const RunState *findRun(const std::string &WorkerId, const TaskRef &Task,
+                          std::uint32_t Run) const;
   /// Tracks the runs of the job that an earlier lease holder has placed.
   void adoptPlacedRuns(const jobs::Job &Job);
   void applyRecorded(const jobs::TaskPlaced &Event);
@@ -285,17 +287,9 @@
   chooseGangWorkers(const WaitingStep &Candidate,
                     const std::vector<unsigned> &TaskIndexes,
                     const UsableWorkers &Pool);
-  /// Hosts that a pool lacks for its unplaced tasks.
-  struct UnplacedHosts {
-    /// For the resources of all steps.
-    unsigned ForResources = 0;
-    /// For the step that needs the most, since one worker takes only so many of
-    /// its tasks. Steps share these hosts.
-    unsigned ForSpread = 0;
-  };
   /// Updates RequiredHosts for a step with unplaced tasks.
   void recordUnplaced(const WaitingStep &Candidate, std::size_t UnplacedTasks,
-                      Instant WaitingSince, const UsableWorkers &Pool);
+                      Instant WaitingSince, UsableWorkers &Pool);
   bool mustIsolate(const WaitingStep &Candidate, unsigned Index) const;
   /// Members of a gang wait together for workers of their own.
   void noteIsolationWaits(const WaitingStep &Candidate,
@@ -371,7 +365,6 @@
   // When steps were first found to have tasks that no usable worker can take.
   std::map<StepRef, Instant> UnplacedSince;
   std::map<PoolName, unsigned> RequiredHosts;
-  std::map<PoolName, UnplacedHosts> UnplacedByPool;
   // When tasks of long-running steps were first found not to run.
   std::map<TaskRef, Instant> DelayedSince;
   PermitCache Permits;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -272,17 +272,13 @@
   /// on the worker: also while it drains for its host, and to find out whether
   /// runs on it still fail.
   bool isLastResort(Instant Now) const {
-    switch (exclusionAt(Now)) {
-    case WorkerExclusion::None:
-      return true;
-    case WorkerExclusion::Cordoned:
-      return HostCordon != Cordon::OrderPending && !Record.Draining &&
-             Now >= std::max(AvoidUntil, LastFailureAt + FailureProbeDelay);
-    case WorkerExclusion::Avoided:
-      return Now >= std::max(AvoidUntil, LastFailureAt + FailureProbeDelay);
-    default:
-      return false;
+    const WorkerExclusion Exclusion = exclusionAt(Now);
+    if (Exclusion != WorkerExclusion::Cordoned &&
+        Exclusion != WorkerExclusion::Avoided) {
+      return Exclusion == WorkerExclusion::None;
     }
+    return HostCordon != Cordon::OrderPending && !Record.Draining &&
+           Now >= std::max(AvoidUntil, LastFailureAt + FailureProbeDelay);
   }
 };
 
