--- a/Source/Control/HostController.cpp
+++ b/Source/Control/HostController.cpp
@@ -4,13 +4,12 @@
 
 #include "balsamlatch/Control/HostController.h"
 
-#include <boost/json.hpp>
+#include "HostRecords.h"
+
 #include <fmt/format.h>
 
 namespace balsamlatch::control {
 
-namespace json = boost::json;
-
 namespace {
 
 constexpr Duration MinTickPeriod = std::chrono::milliseconds(100);
@@ -32,81 +31,10 @@
 constexpr std::string_view FleetPrefix = "fleet/";
 constexpr Duration RetryDelay = std::chrono::milliseconds(200);
 
-/// Hosts with recent orders of the previous leader; none if \p Text is empty,
-/// as when the key was never written.
-absl::StatusOr<std::set<HostName>> decodeOrders(const std::string &Text) {
-  std::set<HostName> Names;
-  if (Text.empty()) {
-    return Names;
-  }
-  try {
-    const json::value Document = json::parse(Text);
-    for (const json::value &Name : Document.as_array()) {
-      Names.emplace(std::string(Name.as_string()));
-    }
-  } catch (const std::exception &Error) {
-    return absl::DataLossError(
-        fmt::format("malformed list of ordered hosts: {}", Error.what()));
-  }
-  return Names;
-}
-
-/// State of a wave that is handed over to the next leader.
-struct WaveProgress {
-  WallTime FirstSeen{};
-  std::vector<HostName> CompletedHosts;
-  std::vector<HostName> UnconfirmedHosts;
-};
-
 std::string progressKey(std::uint64_t Wave) {
   return fmt::format("{}{}", HostController::ProgressPrefix, Wave);
 }
 
-json::array encodeNames(const std::vector<HostName> &Hosts) {
-  json::array Names;
-  for (const HostName &Name : Hosts) {
-    Names.emplace_back(Name.Text);
-  }
-  return Names;
-}
-
-std::vector<HostName> decodeNames(const json::value &Document) {
-  std::vector<HostName> Hosts;
-  for (const json::value &Name : Document.as_array()) {
-    Hosts.emplace_back(std::string(Name.as_string()));
-  }
-  return Hosts;
-}
-
-std::string encodeProgress(const WaveProgress &Progress) {
-  json::object Fields{
-      {"since_us", Progress.FirstSeen.time_since_epoch().count()},
-      {"done", encodeNames(Progress.CompletedHosts)}};
-  if (!Progress.UnconfirmedHosts.empty()) {
-    Fields["unconfirmed"] = encodeNames(Progress.UnconfirmedHosts);
-  }
-  return json::serialize(Fields);
-}
-
-absl::StatusOr<WaveProgress> decodeProgress(const std::string &Text) {
-  try {
-    const json::value Document = json::parse(Text);
-    const json::object &Fields = Document.as_object();
-    WaveProgress Progress;
-    Progress.FirstSeen =
-        WallTime(Duration(Fields.at("since_us").to_number<std::int64_t>()));
-    Progress.CompletedHosts = decodeNames(Fields.at("done"));
-    // Earlier versions don't write it.
-    if (const json::value *Names = Fields.if_contains("unconfirmed")) {
-      Progress.UnconfirmedHosts = decodeNames(*Names);
-    }
-    return Progress;
-  } catch (const std::exception &Error) {
-    return absl::DataLossError(
-        fmt::format("malformed progress of a wave: {}", Error.what()));
-  }
-}
-
 } // namespace
 
 HostController::HostController(EventLoop &CallbackLoop, const Clock &TimeSource,
@@ -323,13 +251,10 @@
     return;
   }
   RecordInFlight = true;
-  json::array Names;
-  for (const HostName &Name : Scheduler.recentOrders()) {
-    Names.emplace_back(Name.Text);
-  }
   Transaction Request;
   Request.Conditions = {LocalController.leaderCondition()};
-  Request.Writes = {{std::string(OrdersKey), json::serialize(Names), 0}};
+  Request.Writes = {
+      {std::string(OrdersKey), encodeOrders(Scheduler.recentOrders()), 0}};
   Store.commit(
       std::move(Request),
       [this, Orders = std::exchange(PendingOrders, {}), SentAt = Time.now(),
