--- a/Source/Control/HostController.cpp
+++ b/Source/Control/HostController.cpp
@@ -267,12 +267,12 @@
         // without accounting for these orders.
         const bool IsRecorded =
             Reply.Status.ok() && Time.now() - SentAt < MaxRecordTime;
+        if (!IsRecorded) {
+          Scheduler.handleRefusals(Orders, LocalController.dispatcher());
+          return;
+        }
         for (const dispatch::HostOrder &Order : Orders) {
-          if (IsRecorded) {
-            sendOrder(Order);
-          } else {
-            Scheduler.handleRefusal(Order, LocalController.dispatcher());
-          }
+          sendOrder(Order);
         }
       });
 }
@@ -315,7 +315,7 @@
   Log.write(
       LogLevel::Info, "host-order-refused",
       {{"host", Order.Host.Text}, {"outcome", static_cast<int>(Outcome)}});
-  Scheduler.handleRefusal(Order, LocalController.dispatcher());
+  Scheduler.handleRefusals({Order}, LocalController.dispatcher());
 }
 
 void HostController::saveProgress() {
--- a/Source/Control/HostRecords.h
+++ b/Source/Control/HostRecords.h
@@ -1,6 +1,6 @@
 /// \file
-/// What a leader keeps in the store about hosts for the next one: the hosts that
-/// it ordered recently and the progress of waves.
+/// What a leader keeps in the store about hosts for the next one: the hosts
+/// that it ordered recently and the progress of waves.
 
 #ifndef BALSAMLATCH_CONTROL_HOSTRECORDS_H
 #define BALSAMLATCH_CONTROL_HOSTRECORDS_H
--- a/Source/Dispatch/HostOrders.cpp
+++ b/Source/Dispatch/HostOrders.cpp
@@ -141,12 +141,14 @@
   }
 }
 
-void HostScheduler::handleRefusal(const HostOrder &Order,
-                                  Dispatcher &JobDispatcher) {
-  OpenOrders.erase(Order.Host);
-  MovingHosts.erase(Order.Host);
-  if (const auto WaveIt = Waves.find(Order.Wave); WaveIt != Waves.end()) {
-    WaveIt->second.DrainingSince.erase(Order.Host);
+void HostScheduler::handleRefusals(const std::vector<HostOrder> &Orders,
+                                   Dispatcher &JobDispatcher) {
+  for (const HostOrder &Order : Orders) {
+    OpenOrders.erase(Order.Host);
+    MovingHosts.erase(Order.Host);
+    if (const auto WaveIt = Waves.find(Order.Wave); WaveIt != Waves.end()) {
+      WaveIt->second.DrainingSince.erase(Order.Host);
+    }
   }
   JobDispatcher.setCordons(cordons());
 }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -89,8 +89,9 @@
   /// accepted, or the list shows it in maintenance after the order; without a
   /// reply the order is repeated until then.
   void handleReply(const HostOrder &Order, bool WasAccepted);
-  /// The platform refused the order.
-  void handleRefusal(const HostOrder &Order, Dispatcher &JobDispatcher);
+  /// The platform refused the orders, or they were not sent.
+  void handleRefusals(const std::vector<HostOrder> &Orders,
+                      Dispatcher &JobDispatcher);
 
   /// The hosts of a wave that need no further order: adds those that an earlier
   /// lease holder has finished, and returns all of them.
--- a/Tests/Dispatch/FleetHosts.cpp
+++ b/Tests/Dispatch/FleetHosts.cpp
@@ -130,7 +130,7 @@
       if (IsRecorded) {
         sendOrder(Order);
       } else {
-        Scheduler->handleRefusal(Order, *Sim.JobDispatcher);
+        Scheduler->handleRefusals({Order}, *Sim.JobDispatcher);
       }
     }
   });
@@ -179,7 +179,7 @@
                                        OrderOutcome Outcome) {
   const bool IsAccepted = Outcome == OrderOutcome::Done;
   if (!IsAccepted && Outcome != OrderOutcome::Unknown) {
-    Scheduler->handleRefusal(Order, *Sim.JobDispatcher);
+    Scheduler->handleRefusals({Order}, *Sim.JobDispatcher);
   } else if (ListInFlight) {
     RepliesDuringList.emplace_back(Order, IsAccepted);
   } else {
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -198,10 +198,10 @@
   BOOST_REQUIRE(Orders.size() == 1);
   BOOST_TEST(Orders.front().Host.Text == First.Text);
   // The second order met the host being away already.
-  Fleet.Scheduler.handleRefusal(Orders.front(), *Fleet.Sim.JobDispatcher);
+  Fleet.Scheduler.handleRefusals({Orders.front()}, *Fleet.Sim.JobDispatcher);
   for (const HostOrder &Order : Fleet.decide()) {
     BOOST_TEST(Order.Host.Text == First.Text);
-    Fleet.Scheduler.handleRefusal(Order, *Fleet.Sim.JobDispatcher);
+    Fleet.Scheduler.handleRefusals({Order}, *Fleet.Sim.JobDispatcher);
   }
 }
 
@@ -510,7 +510,7 @@
   BOOST_REQUIRE(Orders.size() == 1);
   BOOST_TEST((Orders.front() == First));
   // The first order may still be carried out if the second one is refused.
-  Fleet.Scheduler.handleRefusal(First, *Fleet.Sim.JobDispatcher);
+  Fleet.Scheduler.handleRefusals({First}, *Fleet.Sim.JobDispatcher);
   const WorkerState &Other = Fleet.Sim.JobDispatcher->workers().at(
       First.WorkerId == "w0" ? "w1" : "w0");
   BOOST_TEST(!canInterrupt(Other, *Fleet.Sim.JobDispatcher, Fleet.Sim.Table));
