--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -4,6 +4,7 @@
 
 #define BOOST_TEST_MODULE Control
 #include "FakeStore.h"
+#include "UnresponsivePorts.h"
 
 #include "balsamlatch/Control/JobController.h"
 #include "balsamlatch/Control/JobRouter.h"
@@ -23,20 +24,6 @@
 
 namespace {
 
-/// Workers that never reply; no job of these tests needs to run.
-class UnresponsiveWorkers final : public WorkerPort {
-public:
-  void renew(const dispatch::RenewOrder &, RenewCallback) override {}
-  void start(const dispatch::StartOrder &, ReplyCallback) override {}
-  void stop(const dispatch::StopOrder &, ReplyCallback) override {}
-  void pace(const dispatch::PaceOrder &, ReplyCallback) override {}
-};
-
-class UnresponsivePolicies final : public PolicyPort {
-public:
-  void ask(const dispatch::PermitQuery &, ReplyCallback) override {}
-};
-
 /// Workers that report the same running task to each renewal.
 class ReportingWorkers final : public WorkerPort {
 public:
--- a/Tests/Control/HostControllerTest.cpp
+++ b/Tests/Control/HostControllerTest.cpp
@@ -4,6 +4,7 @@
 
 #define BOOST_TEST_MODULE HostController
 #include "FakeStore.h"
+#include "UnresponsivePorts.h"
 
 #include "balsamlatch/Control/HostController.h"
 
@@ -18,19 +19,6 @@
 
 namespace {
 
-class UnresponsiveWorkers final : public WorkerPort {
-public:
-  void renew(const dispatch::RenewOrder &, RenewCallback) override {}
-  void start(const dispatch::StartOrder &, ReplyCallback) override {}
-  void stop(const dispatch::StopOrder &, ReplyCallback) override {}
-  void pace(const dispatch::PaceOrder &, ReplyCallback) override {}
-};
-
-class UnresponsivePolicies final : public PolicyPort {
-public:
-  void ask(const dispatch::PermitQuery &, ReplyCallback) override {}
-};
-
 /// A platform whose replies to maintenance orders are set by the test.
 class FakeHosts final : public HostPort {
 public:
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -23,14 +23,6 @@
   return Text;
 }
 
-jobs::JobSpec longRunningJob(unsigned Tasks) {
-  jobs::JobSpec Spec = simpleJob(Tasks);
-  Spec.Steps.front().LongRunning = true;
-  Spec.Steps.front().MaxPerWorker = 1;
-  Spec.Steps.front().MaxUnavailable = 1;
-  return Spec;
-}
-
 /// Puts a configuration in force that has another queue in place of the first.
 void removeFirstQueue(Simulation &Sim) {
   auto Changed = std::make_shared<Deployment>(*Sim.Config);
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -21,14 +21,6 @@
 const PoolName TestPool("pool");
 const PoolName StandbyPool("spare");
 
-jobs::JobSpec longRunningJob(unsigned Tasks) {
-  jobs::JobSpec Spec = simpleJob(Tasks);
-  Spec.Steps.front().LongRunning = true;
-  Spec.Steps.front().MaxPerWorker = 1;
-  Spec.Steps.front().MaxUnavailable = 1;
-  return Spec;
-}
-
 /// A simulation with a host for each worker, and a host scheduler at the start
 /// of its term.
 struct FleetFixture {
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -39,6 +39,14 @@
   return Spec;
 }
 
+jobs::JobSpec longRunningJob(unsigned Tasks) {
+  jobs::JobSpec Spec = simpleJob(Tasks);
+  Spec.Steps.front().LongRunning = true;
+  Spec.Steps.front().MaxPerWorker = 1;
+  Spec.Steps.front().MaxUnavailable = 1;
+  return Spec;
+}
+
 RenewReport FakeWorker::renew(const RenewOrder &Order, Instant Now,
                               OrderOutcome &Outcome, History &Observed) {
   if (Order.Token < HighestToken) {
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -268,6 +268,9 @@
 
 /// Returns a job whose steps run one after another, with \p Tasks tasks each.
 jobs::JobSpec simpleJob(unsigned Tasks, unsigned Steps = 1);
+/// Returns a job with one long-running step, of whose tasks a worker takes one
+/// and one may be unavailable.
+jobs::JobSpec longRunningJob(unsigned Tasks);
 
 } // namespace balsamlatch::dispatch::test
 
