--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -1,6 +1,6 @@
 /// \file
-/// The start and end of a leadership term, the worker registrations, and the
-/// effect of recorded journal events on the state of the dispatcher.
+/// The start and end of a leadership term, and the effect of recorded journal
+/// events on the state of the dispatcher.
 
 #include "balsamlatch/Dispatch/Dispatcher.h"
 
@@ -207,90 +207,6 @@
   Worker.LeasesExpireAt = std::max(Worker.LeasesExpireAt, Now + MaxLease);
 }
 
-void Dispatcher::setWorkers(
-    const std::map<std::string, WorkerRecord> &Records) {
-  if (Table == nullptr) {
-    return;
-  }
-  for (auto &[Id, Worker] : Workers) {
-    if (!Records.contains(Id)) {
-      Worker.IsRegistered = false;
-    }
-  }
-  for (const auto &[Id, Record] : Records) {
-    registerWorker(Id, Record);
-  }
-  PlanNeeded = true;
-}
-
-void Dispatcher::updateWorkers(const std::vector<WorkerChange> &Changes) {
-  if (Table == nullptr) {
-    return;
-  }
-  for (const WorkerChange &Change : Changes) {
-    if (Change.Record) {
-      registerWorker(Change.WorkerId, *Change.Record);
-    } else if (const auto It = Workers.find(Change.WorkerId);
-               It != Workers.end()) {
-      It->second.IsRegistered = false;
-    }
-  }
-  PlanNeeded = true;
-}
-
-void Dispatcher::registerWorker(const std::string &Id,
-                                const WorkerRecord &Record) {
-  const auto [WorkerIt, IsNew] = Workers.try_emplace(Id);
-  WorkerState &Worker = WorkerIt->second;
-  if (const auto CordonIt = HostCordons.find(Id);
-      IsNew && CordonIt != HostCordons.end()) {
-    Worker.HostCordon = CordonIt->second;
-  }
-  if (Record.Instance.Incarnation < Worker.Record.Instance.Incarnation ||
-      Record.Instance.Incarnation == Worker.SupersededIncarnation) {
-    return; // the worker has already reported a later incarnation
-  }
-  if (Record.Instance.Incarnation > Worker.Record.Instance.Incarnation) {
-    setWorkerInstance(Worker, Record.Instance.Incarnation);
-  }
-  if (!Worker.IsRegistered && !Worker.HasEnded) {
-    Worker.NextRenewalAt = Time.now();
-  }
-  Worker.Record = Record;
-  Worker.IsRegistered = true;
-}
-
-void Dispatcher::setWorkerInstance(WorkerState &Worker,
-                                   std::int64_t Incarnation) {
-  if (Worker.Record.Instance.Incarnation == Incarnation) {
-    return;
-  }
-  handleWorkerGone(Worker, Incarnation, "its worker was started again");
-  if (Worker.Record.Instance.Incarnation != 0) {
-    Log.write(LogLevel::Info, "worker-restarted",
-              {{"worker", Worker.Record.Instance.Id},
-               {"born", Incarnation},
-               {"before", Worker.Record.Instance.Incarnation}});
-  }
-  Worker.Record.Instance.Incarnation = Incarnation;
-  Worker.IncarnationLearntAt = Time.now();
-  Worker.SupersededIncarnation = 0;
-  Worker.HasReported = false;
-  Worker.HasEnded = false;
-  Worker.NextRenewalAt =
-      std::min(Worker.NextRenewalAt, Time.now() + UnresponsiveRenewalPeriod);
-  Worker.WasListed = false;
-  Worker.OrphanedResources = {};
-  Worker.LastSeenEnd = 0;
-  Worker.LastEndInBatch = 0;
-  Worker.LastRecordedEnd = 0;
-  Worker.ConsecutiveFailures = 0;
-  Worker.AvoidanceDoublings = 0;
-  Worker.AvoidUntil = {};
-  Worker.FailingUntil = {};
-  Worker.LastFailureAt = {};
-}
-
 void Dispatcher::handleRecorded(const std::vector<JobEvent> &RecordedEvents) {
   if (Table == nullptr) {
     return;
@@ -483,107 +399,6 @@
   }
 }
 
-void Dispatcher::endAllAsLost(WorkerState &Worker, std::string_view Reason) {
-  for (auto &[Task, Run] : Worker.Runs) {
-    if (Run.Phase == RunPhase::Ending || Run.Phase == RunPhase::Proposed) {
-      continue;
-    }
-    logLostRun(Worker, Task, Run, Reason);
-    proposeEnd(Worker, Task, Run, lostOutcome(Run), Run.Checkpoint);
-  }
-}
-
-RunOutcome Dispatcher::lostOutcome(const RunState &Run) {
-  return Run.HasSettled ? RunOutcome::LostAfterStart : RunOutcome::Lost;
-}
-
-RunOutcome Dispatcher::crashOutcome(const WorkerState &Worker,
-                                    const RunState &Run) {
-  if (Run.FromEarlierTerm && !Worker.HasReported) {
-    return RunOutcome::WorkerCrashed;
-  }
-  if (Run.FromEarlierTerm || Run.HasSettled) {
-    return lostOutcome(Run);
-  }
-  // The start may have met a worker that was down already.
-  if (Run.StartedAt == Instant()) {
-    return RunOutcome::WorkerCrashedUnconfirmed;
-  }
-  const auto OrderedRuns = std::count_if(
-      Worker.Runs.begin(), Worker.Runs.end(), [](const auto &RunEntry) {
-        return RunEntry.second.Phase != RunPhase::Ending &&
-               RunEntry.second.Phase != RunPhase::Proposed;
-      });
-  return OrderedRuns == 1 ? RunOutcome::WorkerCrashedAlone
-                          : RunOutcome::WorkerCrashedOnStart;
-}
-
-void Dispatcher::handleWorkerGone(WorkerState &Worker, std::int64_t Incarnation,
-                                  std::string_view Reason) {
-  const bool IsCrash = !Worker.isLeaving();
-  if (IsCrash) {
-    confirmPossibleCrashes(Worker);
-  }
-  std::vector<std::pair<TaskRef, RunOutcome>> Outcomes;
-  for (const auto &[Task, Run] : Worker.Runs) {
-    if (Run.WorkerIncarnation != Incarnation && Run.Phase != RunPhase::Ending) {
-      Outcomes.emplace_back(Task, IsCrash && Run.Phase != RunPhase::Proposed
-                                      ? crashOutcome(Worker, Run)
-                                      : RunOutcome::Lost);
-    }
-  }
-  for (const auto &[Task, Outcome] : Outcomes) {
-    RunState &Run = Worker.Runs.at(Task);
-    logLostRun(Worker, Task, Run, Reason);
-    proposeEnd(Worker, Task, Run, Outcome, Run.Checkpoint);
-  }
-  if (IsCrash && !Outcomes.empty()) {
-    Log.write(
-        LogLevel::Warning, "worker-crashed",
-        {{"worker", Worker.Record.Instance.Id},
-         {"runs", Outcomes.size()},
-         {"report_age_ms", toMilliseconds(Time.now() - Worker.LastReportAt)},
-         {"why", Reason}});
-  }
-}
-
-void Dispatcher::notePossibleCrashes(WorkerState &Worker) {
-  for (const auto &[Task, Run] : Worker.Runs) {
-    const RunOutcome Outcome = crashOutcome(Worker, Run);
-    if (jobs::isCrash(Outcome) && Run.Phase != RunPhase::Ending &&
-        Run.Phase != RunPhase::Proposed) {
-      Worker.PossibleCrashes.push_back({Task, Run.Number, Outcome});
-    }
-  }
-}
-
-void Dispatcher::confirmPossibleCrashes(WorkerState &Worker) {
-  for (const PossibleCrash &Crash : std::exchange(Worker.PossibleCrashes, {})) {
-    Events.emplace_back(
-        jobs::TaskEnded{Crash.Task, Crash.Run, Crash.Outcome, {}});
-  }
-}
-
-void Dispatcher::logLostRun(const WorkerState &Worker, const TaskRef &Task,
-                            const RunState &Run,
-                            std::string_view Reason) const {
-  // The last report bounds from below how long the worker lived after the
-  // start.
-  const Duration SeenFor = Run.OrderedAt == Instant()
-                               ? Duration::zero()
-                               : Worker.LastReportAt - Run.OrderedAt;
-  Log.write(
-      LogLevel::Info, "run-lost",
-      {{"job", Task.Job.Text},
-       {"task", taskPath(Task)},
-       {"worker", Worker.Record.Instance.Id},
-       {"run", Run.Number},
-       {"ordered_before_last_report_ms", toMilliseconds(SeenFor)},
-       {"report_age_ms", toMilliseconds(Time.now() - Worker.LastReportAt)},
-       {"runs_on_worker", Worker.Runs.size()},
-       {"why", Reason}});
-}
-
 WorkerState *Dispatcher::findWorker(const WorkerInstance &Instance) {
   const auto WorkerIt = Workers.find(Instance.Id);
   return WorkerIt == Workers.end() ||
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -1,12 +1,11 @@
 /// \file
 /// Periodic work of the dispatcher: orders to workers, expiry of leases and
-/// removal of old jobs; and the handling of workers whose hosts are maintained
-/// or moved.
+/// removal of old jobs.
 
 #include "balsamlatch/Dispatch/Dispatcher.h"
 
 #include <algorithm>
-#include <limits>
+#include <utility>
 
 namespace balsamlatch::dispatch {
 
@@ -19,15 +18,8 @@
 /// at 20 ms for 1,000 workers.
 constexpr Duration SweepPeriodPerWorker = std::chrono::microseconds(20);
 constexpr Duration ForgetPeriod = std::chrono::seconds(1);
-/// Consecutive host lists without a worker after which the worker counts as
-/// ended. A single list may have been taken before the worker started.
-constexpr unsigned MinListsWithoutHost = 2;
-/// A host list shows a worker this long after its start at the latest.
-constexpr Duration MaxHostListLag = std::chrono::seconds(2);
 /// Replies count as getting lost for this long after a lost one.
 constexpr Duration LossyTime = std::chrono::seconds(3);
-/// A worker that so many host lists still show is out of reach, but not gone.
-constexpr unsigned MaxListsWhileUnresponsive = 4;
 
 } // namespace
 
@@ -261,75 +253,4 @@
             {{"job", Task.Job.Text}, {"worker", WorkerId}, {"why", Reason}});
 }
 
-void Dispatcher::setHostedWorkers(const std::set<std::string> &Ids) {
-  const Instant Now = Time.now();
-  for (auto &[Id, Worker] : Workers) {
-    Worker.ListsWhileUnresponsive += Worker.IsUnresponsive ? 1 : 0;
-    if (Ids.contains(Id)) {
-      Worker.ListsWithoutHost = 0;
-      Worker.WasListed = true;
-      continue;
-    }
-    // Lists may lag behind the start of a worker that has reported.
-    const bool IsListable =
-        Worker.WasListed || Now - Worker.IncarnationLearntAt > MaxHostListLag;
-    const bool MayBeGone =
-        !Worker.HasReported || (Worker.IsUnresponsive && IsListable);
-    if (MayBeGone && ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
-      handleWorkerGone(Worker, std::numeric_limits<std::int64_t>::max(),
-                       "no host runs its worker any more");
-      Worker.HasEnded = true;
-    }
-  }
-}
-
-bool Dispatcher::needsHostList() const {
-  return std::any_of(
-      Workers.begin(), Workers.end(), [](const auto &WorkerEntry) {
-        const WorkerState &Worker = WorkerEntry.second;
-        return Worker.IsUnresponsive && Worker.WasListed &&
-               Worker.HasReported && !Worker.Runs.empty() &&
-               Worker.ListsWhileUnresponsive < MaxListsWhileUnresponsive;
-      });
-}
-
-void Dispatcher::handleHostGone(const std::string &WorkerId) {
-  const auto WorkerIt = Workers.find(WorkerId);
-  if (Table == nullptr || WorkerIt == Workers.end()) {
-    return;
-  }
-  endAllAsLost(WorkerIt->second,
-               "the host of the worker was moved or maintained");
-  WorkerIt->second.IsRegistered = false;
-  WorkerIt->second.setUnresponsive(Time.now());
-  WorkerIt->second.HasEnded = true;
-  WorkerIt->second.EndedAt = Time.now();
-  WorkerIt->second.NextRenewalAt = Time.now() + Settings.IdleRenewalPeriod;
-}
-
-void Dispatcher::setPossiblyOrdered(const std::set<std::string> &WorkerIds) {
-  for (auto &[Id, Worker] : Workers) {
-    Worker.HostMayBeOrdered = WorkerIds.contains(Id);
-  }
-}
-
-void Dispatcher::setCordons(const std::map<std::string, Cordon> &Cordons) {
-  for (auto &[Id, Worker] : Workers) {
-    const auto CordonIt = Cordons.find(Id);
-    const Cordon NewCordon =
-        CordonIt == Cordons.end() ? Cordon::None : CordonIt->second;
-    PlanNeeded = PlanNeeded || NewCordon != Worker.HostCordon;
-    Worker.HostCordon = NewCordon;
-  }
-  HostCordons = Cordons;
-}
-
-void Dispatcher::addCordon(const std::string &WorkerId, Cordon NewCordon) {
-  HostCordons[WorkerId] = NewCordon;
-  if (const auto It = Workers.find(WorkerId); It != Workers.end()) {
-    PlanNeeded = PlanNeeded || NewCordon != It->second.HostCordon;
-    It->second.HostCordon = NewCordon;
-  }
-}
-
 } // namespace balsamlatch::dispatch
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -98,24 +98,6 @@
   }
 }
 
-bool Dispatcher::acceptIncarnation(WorkerState &Worker,
-                                   std::int64_t Incarnation, Instant SentAt) {
-  const std::int64_t Known = Worker.Record.Instance.Incarnation;
-  if (Incarnation == 0 || Incarnation == Known) {
-    return true;
-  }
-  // An earlier incarnation can't reply any more once a later one is known, so
-  // the clock was set back before the worker was started again.
-  const bool HasLowerNumber = Incarnation < Known;
-  if (Incarnation == Worker.SupersededIncarnation ||
-      (HasLowerNumber && SentAt <= Worker.IncarnationLearntAt)) {
-    return false;
-  }
-  setWorkerInstance(Worker, Incarnation);
-  Worker.SupersededIncarnation = HasLowerNumber ? Known : 0;
-  return true;
-}
-
 Duration Dispatcher::renewalRetryDelay(const WorkerState &Worker) const {
   if (Worker.HasEnded) {
     return Settings.IdleRenewalPeriod;
--- /dev/null
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -0,0 +1,301 @@
+/// \file
+/// Which workers there are, in which incarnation, and what becomes of their runs
+/// when one is gone: by registrations, replies, host lists and host orders.
+
+#include "balsamlatch/Dispatch/Dispatcher.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace balsamlatch::dispatch {
+
+using jobs::RunOutcome;
+
+namespace {
+
+/// Consecutive host lists without a worker after which the worker counts as
+/// ended. A single list may have been taken before the worker started.
+constexpr unsigned MinListsWithoutHost = 2;
+/// A host list shows a worker this long after its start at the latest.
+constexpr Duration MaxHostListLag = std::chrono::seconds(2);
+/// A worker that so many host lists still show is out of reach, but not gone.
+constexpr unsigned MaxListsWhileUnresponsive = 4;
+
+} // namespace
+
+void Dispatcher::setWorkers(
+    const std::map<std::string, WorkerRecord> &Records) {
+  if (Table == nullptr) {
+    return;
+  }
+  for (auto &[Id, Worker] : Workers) {
+    if (!Records.contains(Id)) {
+      Worker.IsRegistered = false;
+    }
+  }
+  for (const auto &[Id, Record] : Records) {
+    registerWorker(Id, Record);
+  }
+  PlanNeeded = true;
+}
+
+void Dispatcher::updateWorkers(const std::vector<WorkerChange> &Changes) {
+  if (Table == nullptr) {
+    return;
+  }
+  for (const WorkerChange &Change : Changes) {
+    if (Change.Record) {
+      registerWorker(Change.WorkerId, *Change.Record);
+    } else if (const auto It = Workers.find(Change.WorkerId);
+               It != Workers.end()) {
+      It->second.IsRegistered = false;
+    }
+  }
+  PlanNeeded = true;
+}
+
+void Dispatcher::registerWorker(const std::string &Id,
+                                const WorkerRecord &Record) {
+  const auto [WorkerIt, IsNew] = Workers.try_emplace(Id);
+  WorkerState &Worker = WorkerIt->second;
+  if (const auto CordonIt = HostCordons.find(Id);
+      IsNew && CordonIt != HostCordons.end()) {
+    Worker.HostCordon = CordonIt->second;
+  }
+  if (Record.Instance.Incarnation < Worker.Record.Instance.Incarnation ||
+      Record.Instance.Incarnation == Worker.SupersededIncarnation) {
+    return; // the worker has already reported a later incarnation
+  }
+  if (Record.Instance.Incarnation > Worker.Record.Instance.Incarnation) {
+    setWorkerInstance(Worker, Record.Instance.Incarnation);
+  }
+  if (!Worker.IsRegistered && !Worker.HasEnded) {
+    Worker.NextRenewalAt = Time.now();
+  }
+  Worker.Record = Record;
+  Worker.IsRegistered = true;
+}
+
+void Dispatcher::setWorkerInstance(WorkerState &Worker,
+                                   std::int64_t Incarnation) {
+  if (Worker.Record.Instance.Incarnation == Incarnation) {
+    return;
+  }
+  handleWorkerGone(Worker, Incarnation, "its worker was started again");
+  if (Worker.Record.Instance.Incarnation != 0) {
+    Log.write(LogLevel::Info, "worker-restarted",
+              {{"worker", Worker.Record.Instance.Id},
+               {"born", Incarnation},
+               {"before", Worker.Record.Instance.Incarnation}});
+  }
+  Worker.Record.Instance.Incarnation = Incarnation;
+  Worker.IncarnationLearntAt = Time.now();
+  Worker.SupersededIncarnation = 0;
+  Worker.HasReported = false;
+  Worker.HasEnded = false;
+  Worker.NextRenewalAt =
+      std::min(Worker.NextRenewalAt, Time.now() + UnresponsiveRenewalPeriod);
+  Worker.WasListed = false;
+  Worker.OrphanedResources = {};
+  Worker.LastSeenEnd = 0;
+  Worker.LastEndInBatch = 0;
+  Worker.LastRecordedEnd = 0;
+  Worker.ConsecutiveFailures = 0;
+  Worker.AvoidanceDoublings = 0;
+  Worker.AvoidUntil = {};
+  Worker.FailingUntil = {};
+  Worker.LastFailureAt = {};
+}
+
+bool Dispatcher::acceptIncarnation(WorkerState &Worker,
+                                   std::int64_t Incarnation, Instant SentAt) {
+  const std::int64_t Known = Worker.Record.Instance.Incarnation;
+  if (Incarnation == 0 || Incarnation == Known) {
+    return true;
+  }
+  // An earlier incarnation can't reply any more once a later one is known, so
+  // the clock was set back before the worker was started again.
+  const bool HasLowerNumber = Incarnation < Known;
+  if (Incarnation == Worker.SupersededIncarnation ||
+      (HasLowerNumber && SentAt <= Worker.IncarnationLearntAt)) {
+    return false;
+  }
+  setWorkerInstance(Worker, Incarnation);
+  Worker.SupersededIncarnation = HasLowerNumber ? Known : 0;
+  return true;
+}
+
+void Dispatcher::endAllAsLost(WorkerState &Worker, std::string_view Reason) {
+  for (auto &[Task, Run] : Worker.Runs) {
+    if (Run.Phase == RunPhase::Ending || Run.Phase == RunPhase::Proposed) {
+      continue;
+    }
+    logLostRun(Worker, Task, Run, Reason);
+    proposeEnd(Worker, Task, Run, lostOutcome(Run), Run.Checkpoint);
+  }
+}
+
+RunOutcome Dispatcher::lostOutcome(const RunState &Run) {
+  return Run.HasSettled ? RunOutcome::LostAfterStart : RunOutcome::Lost;
+}
+
+RunOutcome Dispatcher::crashOutcome(const WorkerState &Worker,
+                                    const RunState &Run) {
+  if (Run.FromEarlierTerm && !Worker.HasReported) {
+    return RunOutcome::WorkerCrashed;
+  }
+  if (Run.FromEarlierTerm || Run.HasSettled) {
+    return lostOutcome(Run);
+  }
+  // The start may have met a worker that was down already.
+  if (Run.StartedAt == Instant()) {
+    return RunOutcome::WorkerCrashedUnconfirmed;
+  }
+  const auto OrderedRuns = std::count_if(
+      Worker.Runs.begin(), Worker.Runs.end(), [](const auto &RunEntry) {
+        return RunEntry.second.Phase != RunPhase::Ending &&
+               RunEntry.second.Phase != RunPhase::Proposed;
+      });
+  return OrderedRuns == 1 ? RunOutcome::WorkerCrashedAlone
+                          : RunOutcome::WorkerCrashedOnStart;
+}
+
+void Dispatcher::handleWorkerGone(WorkerState &Worker, std::int64_t Incarnation,
+                                  std::string_view Reason) {
+  const bool IsCrash = !Worker.isLeaving();
+  if (IsCrash) {
+    confirmPossibleCrashes(Worker);
+  }
+  std::vector<std::pair<TaskRef, RunOutcome>> Outcomes;
+  for (const auto &[Task, Run] : Worker.Runs) {
+    if (Run.WorkerIncarnation != Incarnation && Run.Phase != RunPhase::Ending) {
+      Outcomes.emplace_back(Task, IsCrash && Run.Phase != RunPhase::Proposed
+                                      ? crashOutcome(Worker, Run)
+                                      : RunOutcome::Lost);
+    }
+  }
+  for (const auto &[Task, Outcome] : Outcomes) {
+    RunState &Run = Worker.Runs.at(Task);
+    logLostRun(Worker, Task, Run, Reason);
+    proposeEnd(Worker, Task, Run, Outcome, Run.Checkpoint);
+  }
+  if (IsCrash && !Outcomes.empty()) {
+    Log.write(
+        LogLevel::Warning, "worker-crashed",
+        {{"worker", Worker.Record.Instance.Id},
+         {"runs", Outcomes.size()},
+         {"report_age_ms", toMilliseconds(Time.now() - Worker.LastReportAt)},
+         {"why", Reason}});
+  }
+}
+
+void Dispatcher::notePossibleCrashes(WorkerState &Worker) {
+  for (const auto &[Task, Run] : Worker.Runs) {
+    const RunOutcome Outcome = crashOutcome(Worker, Run);
+    if (jobs::isCrash(Outcome) && Run.Phase != RunPhase::Ending &&
+        Run.Phase != RunPhase::Proposed) {
+      Worker.PossibleCrashes.push_back({Task, Run.Number, Outcome});
+    }
+  }
+}
+
+void Dispatcher::confirmPossibleCrashes(WorkerState &Worker) {
+  for (const PossibleCrash &Crash : std::exchange(Worker.PossibleCrashes, {})) {
+    Events.emplace_back(
+        jobs::TaskEnded{Crash.Task, Crash.Run, Crash.Outcome, {}});
+  }
+}
+
+void Dispatcher::logLostRun(const WorkerState &Worker, const TaskRef &Task,
+                            const RunState &Run,
+                            std::string_view Reason) const {
+  // The last report bounds from below how long the worker lived after the
+  // start.
+  const Duration SeenFor = Run.OrderedAt == Instant()
+                               ? Duration::zero()
+                               : Worker.LastReportAt - Run.OrderedAt;
+  Log.write(
+      LogLevel::Info, "run-lost",
+      {{"job", Task.Job.Text},
+       {"task", taskPath(Task)},
+       {"worker", Worker.Record.Instance.Id},
+       {"run", Run.Number},
+       {"ordered_before_last_report_ms", toMilliseconds(SeenFor)},
+       {"report_age_ms", toMilliseconds(Time.now() - Worker.LastReportAt)},
+       {"runs_on_worker", Worker.Runs.size()},
+       {"why", Reason}});
+}
+
+void Dispatcher::setHostedWorkers(const std::set<std::string> &Ids) {
+  const Instant Now = Time.now();
+  for (auto &[Id, Worker] : Workers) {
+    Worker.ListsWhileUnresponsive += Worker.IsUnresponsive ? 1 : 0;
+    if (Ids.contains(Id)) {
+      Worker.ListsWithoutHost = 0;
+      Worker.WasListed = true;
+      continue;
+    }
+    // Lists may lag behind the start of a worker that has reported.
+    const bool IsListable =
+        Worker.WasListed || Now - Worker.IncarnationLearntAt > MaxHostListLag;
+    const bool MayBeGone =
+        !Worker.HasReported || (Worker.IsUnresponsive && IsListable);
+    if (MayBeGone && ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
+      handleWorkerGone(Worker, std::numeric_limits<std::int64_t>::max(),
+                       "no host runs its worker any more");
+      Worker.HasEnded = true;
+    }
+  }
+}
+
+bool Dispatcher::needsHostList() const {
+  return std::any_of(
+      Workers.begin(), Workers.end(), [](const auto &WorkerEntry) {
+        const WorkerState &Worker = WorkerEntry.second;
+        return Worker.IsUnresponsive && Worker.WasListed &&
+               Worker.HasReported && !Worker.Runs.empty() &&
+               Worker.ListsWhileUnresponsive < MaxListsWhileUnresponsive;
+      });
+}
+
+void Dispatcher::handleHostGone(const std::string &WorkerId) {
+  const auto WorkerIt = Workers.find(WorkerId);
+  if (Table == nullptr || WorkerIt == Workers.end()) {
+    return;
+  }
+  endAllAsLost(WorkerIt->second,
+               "the host of the worker was moved or maintained");
+  WorkerIt->second.IsRegistered = false;
+  WorkerIt->second.setUnresponsive(Time.now());
+  WorkerIt->second.HasEnded = true;
+  WorkerIt->second.EndedAt = Time.now();
+  WorkerIt->second.NextRenewalAt = Time.now() + Settings.IdleRenewalPeriod;
+}
+
+void Dispatcher::setPossiblyOrdered(const std::set<std::string> &WorkerIds) {
+  for (auto &[Id, Worker] : Workers) {
+    Worker.HostMayBeOrdered = WorkerIds.contains(Id);
+  }
+}
+
+void Dispatcher::setCordons(const std::map<std::string, Cordon> &Cordons) {
+  for (auto &[Id, Worker] : Workers) {
+    const auto CordonIt = Cordons.find(Id);
+    const Cordon NewCordon =
+        CordonIt == Cordons.end() ? Cordon::None : CordonIt->second;
+    PlanNeeded = PlanNeeded || NewCordon != Worker.HostCordon;
+    Worker.HostCordon = NewCordon;
+  }
+  HostCordons = Cordons;
+}
+
+void Dispatcher::addCordon(const std::string &WorkerId, Cordon NewCordon) {
+  HostCordons[WorkerId] = NewCordon;
+  if (const auto It = Workers.find(WorkerId); It != Workers.end()) {
+    PlanNeeded = PlanNeeded || NewCordon != It->second.HostCordon;
+    It->second.HostCordon = NewCordon;
+  }
+}
+
+} // namespace balsamlatch::dispatch
