--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -1,6 +1,7 @@
 /// \file
-/// Which workers there are, in which incarnation, and what becomes of their runs
-/// when one is gone: by registrations, replies, host lists and host orders.
+/// Which workers there are, in which incarnation, and what becomes of their
+/// runs when one is gone: by registrations, replies, host lists and host
+/// orders.
 
 #include "balsamlatch/Dispatch/Dispatcher.h"
 
