--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -271,11 +271,15 @@
   orderStart(Worker, Event.Task, *Run);
 }
 
-bool Dispatcher::isCurrentRun(const TaskRef &Task, std::uint32_t Run) const {
+std::uint32_t Dispatcher::currentRun(const TaskRef &Task) const {
   const jobs::Job *Job = Table->find(Task.Job);
   const TaskRecord *Record = Job == nullptr ? nullptr : Job->find(Task);
-  return Record != nullptr && Record->Phase == TaskPhase::Placed &&
-         Record->Run == Run;
+  return Record != nullptr && Record->Phase == TaskPhase::Placed ? Record->Run
+                                                                 : 0;
+}
+
+bool Dispatcher::isCurrentRun(const TaskRef &Task, std::uint32_t Run) const {
+  return currentRun(Task) == Run;
 }
 
 void Dispatcher::applyRecorded(const jobs::TaskEnded &Event) {
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -177,6 +177,7 @@
              {"task", taskPath(Task)},
              {"run", Run.Number},
              {"worker", Worker.Record.Instance.Id},
+             {"born", Worker.Record.Instance.Incarnation},
              {"used_cpu_milli", Worker.ClaimedResources.CpuMilli},
              {"report_age_ms", toMilliseconds(Now - Worker.LastReportAt)}});
   sendStart(Worker, Task, Run);
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -232,8 +232,11 @@
                   : Worker.Record.Capacity;
   Log.write(LogLevel::Info, "run-orphaned",
             {{"job", ReportedRun.Task.Job.Text},
+             {"task", taskPath(ReportedRun.Task)},
              {"run", ReportedRun.Run},
              {"worker", Worker.Record.Instance.Id},
+             {"born", Worker.Record.Instance.Incarnation},
+             {"current_run", currentRun(ReportedRun.Task)},
              {"why", "the journal has no such run on this worker"}});
   Orders.emplace_back(
       StopOrder{Worker.address(), Token, ReportedRun.Task, ReportedRun.Run});
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -317,6 +317,8 @@
   bool isProposed(const TaskRef &Task) const {
     return ProposedTasks.contains(Task);
   }
+  /// The run of the task that is placed by the journal; 0 for none.
+  std::uint32_t currentRun(const TaskRef &Task) const;
   /// Whether the journal has the run as the current one of its task. It isn't
   /// if the task, its gang or its job has ended otherwise.
   bool isCurrentRun(const TaskRef &Task, std::uint32_t Run) const;
