tests: Workers that start again under their IDs take orders for their former lives

The simulation's workers refused orders that were meant for a former incarnation, and granted any lease. The platform's do neither: an order names the worker by its ID only, a lease that is too long is shortened to the longest one, it holds for all runs on the worker, and it never shrinks.

AWorkerMissingFromHostListsCountsAsEnded keeps the registration's incarnation by its value instead of by a difference, since incarnations are times now; what it checks is unchanged.

--- a/Source/Base/include/balsamlatch/Base/Clock.h
+++ b/Source/Base/include/balsamlatch/Base/Clock.h
@@ -63,8 +63,10 @@
 class ManualClock final : public Clock {
 public:
   Instant now() const override { return Current; }
-  WallTime wallNow() const override {
-    return WallTime(Current.time_since_epoch() + WallOffset);
+  WallTime wallNow() const override { return wallAt(Current); }
+  /// The time of day at \p Time.
+  static WallTime wallAt(Instant Time) {
+    return WallTime(Time.time_since_epoch() + WallOffset);
   }
 
   void advance(Duration Step) { Current += Step; }
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -300,9 +300,10 @@
   Sim.submit("a", longRunningJob(1));
   Sim.run(500ms);
   FakeWorker &EndedWorker = workerOfFirstRun(Sim);
+  const jobs::WorkerInstance Registered = EndedWorker.Record.Instance;
   EndedWorker.crash(Sim.Time.now(), Sim.Observed);
-  EndedWorker.Record.Instance.Incarnation -=
-      1000; // the registration is still from the earlier incarnation
+  // The registration is still from the earlier incarnation.
+  EndedWorker.Record.Instance = Registered;
   EndedWorker.IsDown = true;
   Sim.startNewTerm();
   Sim.run(1s);
@@ -1063,7 +1064,6 @@
 
 BOOST_AUTO_TEST_CASE(ATaskIsRestartedIfItsWorkerStartsWithAnEarlierClock) {
   Simulation Sim(2);
-  Sim.OrdersNameIncarnation = false;
   Sim.submit("a", longRunningJob(1));
   Sim.run(1s);
   FakeWorker &Worker = workerOfFirstRun(Sim);
--- a/Tests/Dispatch/FleetSimulation.cpp
+++ b/Tests/Dispatch/FleetSimulation.cpp
@@ -70,8 +70,8 @@
   Worker.Record.Labels = Host.Record.Labels;
   Worker.Record.Capacity = Host.Record.Capacity;
   Worker.FormerCapacity = Host.Record.Capacity;
-  Worker.Record.Instance.Incarnation = toMilliseconds(
-      Sim.Time.now().time_since_epoch() + std::chrono::seconds(1));
+  Worker.Record.Instance.Incarnation =
+      FakeWorker::incarnationAt(Sim.Time.now());
   Worker.StartupTime = drawTime(0, 300);
   Worker.StopDuration = drawTime(0, 300);
   Worker.RunDuration = drawTime(200, 1500);
--- /dev/null
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -0,0 +1,264 @@
+/// \file
+/// Tests of workers that start again under their IDs: they take orders that
+/// were meant for their former incarnations.
+
+#define BOOST_TEST_MODULE RestartedWorker
+#include "Simulation.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+
+using namespace balsamlatch;
+using namespace balsamlatch::dispatch;
+using namespace balsamlatch::dispatch::test;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A simulation whose workers have run for a while, so that their clocks are
+/// far ahead of those of new incarnations. The dispatcher learns of restarts
+/// from replies, or once registerAll() is called.
+class RestartSimulation : public Simulation {
+public:
+  explicit RestartSimulation(unsigned WorkerCount) : Simulation(WorkerCount) {
+    Registrations.emplace();
+    registerAll();
+    for (FakeWorker &Worker : Workers) {
+      Worker.RunDuration = 30s;
+    }
+    run(30s);
+  }
+
+  void registerAll() {
+    for (const FakeWorker &Worker : Workers) {
+      (*Registrations)[Worker.Record.Instance.Id] = Worker.Record;
+    }
+    RegistrationsChanged = true;
+  }
+  void restartAll() {
+    for (FakeWorker &Worker : Workers) {
+      Worker.crash(Time.now(), Observed);
+    }
+  }
+  /// Restarts all workers, then runs until one of them has taken a start that
+  /// was meant for its former incarnation.
+  void startOnRestartedWorker(const std::string &Job, jobs::JobSpec Spec) {
+    restartAll();
+    submit(Job, std::move(Spec));
+    while (countStarts(Job) == 0) {
+      run(5ms);
+    }
+  }
+  /// The worker that has the only run.
+  FakeWorker &workerOfRun() {
+    return *std::find_if(
+        Workers.begin(), Workers.end(),
+        [](const FakeWorker &Worker) { return !Worker.runs().empty(); });
+  }
+  void cutOff(FakeWorker &Worker) {
+    Worker.IsDown = true;
+    IsSilentWhileDown = true;
+  }
+};
+
+/// Whether no guarantee is violated.
+bool holds(const Simulation &Sim) {
+  for (const std::string &Violation : Sim.violations()) {
+    BOOST_TEST_MESSAGE(Violation);
+  }
+  return Sim.violations().empty();
+}
+
+} // namespace
+
+// A start that a restarted worker had carried out counted as lost once the
+// restart was known, and its task ran twice at the same time.
+BOOST_AUTO_TEST_CASE(AStartThatReachedARestartedWorkerIsNotCountedAsLost) {
+  for (const bool IsRegisteredSoon : {true, false}) {
+    RestartSimulation Sim(2);
+    Sim.startOnRestartedWorker("a", simpleJob(1));
+    if (IsRegisteredSoon) {
+      Sim.registerAll();
+    }
+    Sim.run(5s);
+    BOOST_TEST(holds(Sim));
+    BOOST_TEST(Sim.countStarts("a") == 1);
+    Sim.run(60s);
+    BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+    BOOST_TEST(!Sim.Table.find(JobId("a"))->HasCrashingTask);
+  }
+}
+
+// The same, where the reply to the start got lost.
+BOOST_AUTO_TEST_CASE(AnUnansweredStartOnARestartedWorkerIsNotCountedAsLost) {
+  RestartSimulation Sim(2);
+  Sim.LosesAnswer = [](const WorkerOrder &Order) {
+    return std::holds_alternative<StartOrder>(Order);
+  };
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.registerAll();
+  Sim.run(1s);
+  Sim.LosesAnswer = nullptr;
+  Sim.run(70s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
+
+// A start that reached the restarted worker after the restart was known ran
+// beside the next run of its task.
+BOOST_AUTO_TEST_CASE(AStartOnItsWayToARestartedWorkerDoesNotRunBeside) {
+  RestartSimulation Sim(2);
+  unsigned Starts = 0;
+  Sim.OrderDelay = [&](const WorkerOrder &Order) {
+    return std::holds_alternative<StartOrder>(Order) && ++Starts == 1
+               ? std::optional<Duration>(300ms)
+               : std::nullopt;
+  };
+  Sim.submit("a", simpleJob(1));
+  while (Starts == 0) {
+    Sim.run(5ms);
+  }
+  Sim.restartAll();
+  Sim.registerAll();
+  Sim.run(70s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
+
+// A leader that learnt of the restart from the registration alone placed a task
+// again that its predecessor had started on the restarted worker.
+BOOST_AUTO_TEST_CASE(ALaterLeaderKeepsARunOnARestartedWorker) {
+  RestartSimulation Sim(2);
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.registerAll();
+  Sim.startNewTerm();
+  Sim.run(5s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
+
+// A lease that was asked for by the clock of the former incarnation lasted
+// longer on the next one than the leader waited.
+BOOST_AUTO_TEST_CASE(ALeaseByAFormerClockIsWaitedFor) {
+  RestartSimulation Sim(2);
+  Sim.startOnRestartedWorker("a", longRunningJob(1));
+  Sim.registerAll();
+  Sim.run(1s);
+  Sim.cutOff(Sim.workerOfRun());
+  Sim.run(6s);
+  BOOST_TEST(holds(Sim));
+  Sim.run(9s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 2);
+}
+
+// The same, where the worker was cut off before it had reported, so that the
+// leader never knew of the restart.
+BOOST_AUTO_TEST_CASE(ALeaseByAFormerClockIsWaitedForIfTheRestartIsNotKnown) {
+  RestartSimulation Sim(2);
+  Sim.startOnRestartedWorker("a", longRunningJob(1));
+  Sim.cutOff(Sim.workerOfRun());
+  Sim.run(6s);
+  BOOST_TEST(holds(Sim));
+  Sim.run(9s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 2);
+}
+
+// The same, where a renewal for the former incarnation lengthened the leases of
+// a run that was started on the next one.
+BOOST_AUTO_TEST_CASE(ARenewalByAFormerClockIsWaitedFor) {
+  RestartSimulation Sim(2);
+  Sim.submit("a", longRunningJob(1));
+  Sim.run(500ms);
+  FakeWorker &Worker = Sim.workerOfRun();
+  const std::string Other =
+      Worker.Record.Instance.Id == "w0" ? "w1" : "w0";
+  Sim.JobDispatcher->setCordons({{Other, Cordon::OrderPending}});
+  Worker.crash(Sim.Time.now(), Sim.Observed);
+  Sim.run(1s);
+  BOOST_REQUIRE(Sim.countStarts("a") == 2);
+  BOOST_REQUIRE(!Worker.runs().empty());
+  Sim.cutOff(Worker);
+  Sim.JobDispatcher->setCordons({});
+  Sim.run(16s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 3);
+}
+
+// The same, where the leader changed after the restart was known.
+BOOST_AUTO_TEST_CASE(ALaterLeaderWaitsForALeaseByAFormerClock) {
+  RestartSimulation Sim(2);
+  Sim.startOnRestartedWorker("a", longRunningJob(1));
+  Sim.registerAll();
+  Sim.run(500ms);
+  Sim.startNewTerm();
+  Sim.run(500ms);
+  BOOST_REQUIRE(Sim.countStarts("a") == 1);
+  Sim.cutOff(Sim.workerOfRun());
+  Sim.run(6s);
+  BOOST_TEST(holds(Sim));
+  Sim.run(9s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 2);
+}
+
+// A start on its way counted as lost once host lists had shown its worker as
+// gone, and reached the next incarnation.
+BOOST_AUTO_TEST_CASE(AStartOnItsWayOutlivesAWorkerThatIsNotListed) {
+  RestartSimulation Sim(2);
+  Sim.run(100ms);
+  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"});
+  Sim.ReplyDelay = 150ms;
+  Sim.run(3s); // replies may take longer from now on
+  std::string Intended;
+  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+    if (!std::holds_alternative<StartOrder>(Order) || !Intended.empty()) {
+      return std::nullopt;
+    }
+    Intended = workerOf(Order).WorkerId;
+    return 200ms;
+  };
+  Sim.submit("a", simpleJob(1));
+  while (Intended.empty()) {
+    Sim.run(5ms);
+  }
+  FakeWorker &Worker = *Sim.find(Intended);
+  Worker.HasCrashed = true;
+  RenewReport None;
+  Sim.JobDispatcher->handleRenewReply(Intended, Sim.Time.now(),
+                                      OrderOutcome::Unknown, None);
+  const std::string Other = Intended == "w0" ? "w1" : "w0";
+  Sim.JobDispatcher->setHostedWorkers({Other});
+  Sim.JobDispatcher->setHostedWorkers({Other});
+  Sim.run(50ms);
+  Worker.crash(Sim.Time.now(), Sim.Observed);
+  Sim.run(1s);
+  Sim.registerAll();
+  Sim.run(70s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
+
+// A start that got no reply and was repeated was carried out by the next
+// incarnation after its task had completed.
+BOOST_AUTO_TEST_CASE(ACompletedTaskIsNotStartedByALateOrder) {
+  RestartSimulation Sim(2);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.RunDuration = 400ms;
+  }
+  unsigned Starts = 0;
+  Sim.OrderDelay = [&](const WorkerOrder &Order) {
+    return std::holds_alternative<StartOrder>(Order) && ++Starts == 1
+               ? std::optional<Duration>(4s)
+               : std::nullopt;
+  };
+  Sim.submit("a", simpleJob(1));
+  Sim.run(2s);
+  BOOST_REQUIRE((Sim.job("a").Record.State == jobs::JobState::Completed));
+  Sim.restartAll();
+  Sim.registerAll();
+  Sim.run(10s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -47,6 +47,10 @@
   return Spec;
 }
 
+std::int64_t FakeWorker::incarnationAt(Instant Now) {
+  return toMilliseconds(ManualClock::wallAt(Now).time_since_epoch());
+}
+
 RenewReport FakeWorker::renew(const RenewOrder &Order, Instant Now,
                               OrderOutcome &Outcome, History &Observed) {
   if (Order.Token < HighestToken) {
@@ -63,14 +67,15 @@
     return true;
   });
   if (Order.LeaseUntil) {
-    LeaseUntil = std::max(LeaseUntil, *Order.LeaseUntil);
-    for (auto &[Task, Run] : Runs) {
-      Run.LeaseUntil = std::max(Run.LeaseUntil, *Order.LeaseUntil);
-    }
+    extendLease(*Order.LeaseUntil, Now);
   }
   return report(Now);
 }
 
+void FakeWorker::extendLease(WorkerClock Until, Instant Now) {
+  LeaseUntil = std::max(LeaseUntil, std::min(Until, clock(Now) + MaxLease));
+}
+
 RenewReport FakeWorker::report(Instant Now) const {
   RenewReport Report;
   Report.Clock = clock(Now);
@@ -109,6 +114,7 @@
   if (Order.Ticket != RequiredTicket) {
     return OrderOutcome::NoPermit;
   }
+  extendLease(Order.LeaseUntil, Now);
   const auto RunIt = Runs.find(Order.Task);
   if (RunIt != Runs.end()) {
     return RunIt->second.Number == Order.Run ? OrderOutcome::Done
@@ -118,13 +124,12 @@
   if (FinishedIt != FinishedRuns.end() && Order.Run <= FinishedIt->second) {
     return OrderOutcome::StaleRun;
   }
-  LeaseUntil = std::max(LeaseUntil, Order.LeaseUntil);
   if (Order.SpecText == "filler") {
     Paces[Order.Task] = 100;
   }
   Observed.Runs.push_back({Order.Task, Order.Run, Record.Instance.Id, Now});
-  Runs[Order.Task] = {Order.Run,        LongRunning, Now,
-                      Order.LeaseUntil, {},          Observed.Runs.size() - 1};
+  Runs[Order.Task] = {
+      Order.Run, LongRunning, Now, {}, Observed.Runs.size() - 1};
   return OrderOutcome::Done;
 }
 
@@ -179,7 +184,7 @@
     }
     const bool HasEnded = (!Run.LongRunning || FailsAll) && !Hangs &&
                           Now - Run.StartedAt >= RunDuration;
-    const bool LeaseExpired = clock(Now) >= Run.LeaseUntil;
+    const bool LeaseExpired = clock(Now) >= LeaseUntil;
     const bool IsStopped = Run.StopsAt && Now >= *Run.StopsAt;
     if (!HasEnded && !LeaseExpired && !IsStopped) {
       ++RunIt;
@@ -213,7 +218,8 @@
   LeaseUntil = {};
   TraceByEnd.clear();
   BootedAt = Now;
-  Record.Instance.Incarnation += 1000;
+  Record.Instance.Incarnation =
+      std::max(Record.Instance.Incarnation + 1, incarnationAt(Now));
 }
 
 Simulation::Simulation(unsigned WorkerCount, std::uint64_t Seed)
@@ -332,11 +338,11 @@
   for (LongPoll &Poll : std::exchange(LongPolls, {})) {
     const std::string &Id = Poll.Order.Worker.WorkerId;
     FakeWorker &Worker = *find(Id);
-    OrderOutcome Outcome = OrderOutcome::Unknown;
     if (Poll.SenderTerm != Term) {
       continue;
     }
-    if (isReachable(Worker, Poll.Incarnation, Outcome)) {
+    if (Worker.isReachable() &&
+        Worker.Record.Instance.Incarnation == Poll.Incarnation) {
       if (Worker.hasEnds() || Time.now() >= Poll.Until) {
         const RenewReport Report = Worker.report(Time.now());
         reply([this, Id, SentAt = Poll.SentAt, Report] {
@@ -352,10 +358,10 @@
         Worker.IsDown && IsSilentWhileDown
             ? Poll.Until + Poll.Order.Worker.ReplyTimeout - Time.now()
             : Duration::zero();
-    schedule(Delay, [this, Id, SentAt = Poll.SentAt, Outcome,
+    schedule(Delay, [this, Id, SentAt = Poll.SentAt,
                      SenderTerm = Poll.SenderTerm] {
       if (SenderTerm == Term) {
-        JobDispatcher->handleRenewReply(Id, SentAt, Outcome, {});
+        JobDispatcher->handleRenewReply(Id, SentAt, OrderOutcome::Unknown, {});
       }
     });
   }
@@ -446,13 +452,9 @@
   const std::optional<Duration> ExtraDelay =
       OrderDelay ? OrderDelay(Order) : std::optional<Duration>();
   const Duration Delay = ExtraDelay.value_or(NetworkDelay);
-  const std::string &WorkerId = workerOf(Order).WorkerId;
-  const std::int64_t IntendedIncarnation =
-      JobDispatcher->workers().at(WorkerId).Record.Instance.Incarnation;
-  schedule(Delay, [this, Order, SenderTerm = Term, IntendedIncarnation,
-                   ReplyLost, ExtraDelay, SentAt = Time.now()] {
-    deliver(Order, SenderTerm, IntendedIncarnation, !ReplyLost && !ExtraDelay,
-            SentAt);
+  schedule(Delay, [this, Order, SenderTerm = Term, ReplyLost, ExtraDelay,
+                   SentAt = Time.now()] {
+    deliver(Order, SenderTerm, !ReplyLost && !ExtraDelay, SentAt);
   });
   if (!ReplyLost && !ExtraDelay) {
     return;
@@ -489,27 +491,14 @@
   });
 }
 
-bool Simulation::isReachable(const FakeWorker &Worker,
-                             std::int64_t IntendedIncarnation,
-                             OrderOutcome &Outcome) const {
-  // A later incarnation of the worker refuses orders for an earlier one.
-  const bool IsIntended =
-      !OrdersNameIncarnation ||
-      Worker.Record.Instance.Incarnation == IntendedIncarnation;
-  Outcome = IsIntended ? OrderOutcome::Unknown : OrderOutcome::WrongWorker;
-  return !Worker.IsDown && !Worker.HasCrashed && IsIntended;
-}
-
 void Simulation::deliverRenewal(const RenewOrder &Order,
-                                std::uint64_t SenderTerm,
-                                std::int64_t IntendedIncarnation,
-                                bool ReplyArrives) {
+                                std::uint64_t SenderTerm, bool ReplyArrives) {
   const Instant SentAt = Time.now() - NetworkDelay;
   const std::string &Id = Order.Worker.WorkerId;
   FakeWorker &Worker = *find(Id);
   OrderOutcome Outcome = OrderOutcome::Unknown;
   RenewReport Report;
-  if (isReachable(Worker, IntendedIncarnation, Outcome)) {
+  if (Worker.isReachable()) {
     Report = Worker.renew(Order, Time.now(), Outcome, Observed);
   }
   if (!ReplyArrives) {
@@ -518,7 +507,7 @@
   if (HasLongPolls && Outcome == OrderOutcome::Done && !Worker.hasEnds() &&
       Order.Wait > Duration::zero()) {
     LongPolls.push_back({Order, SentAt, Time.now() + Order.Wait, SenderTerm,
-                         IntendedIncarnation});
+                         Worker.Record.Instance.Incarnation});
     return;
   }
   reply([this, Id, SentAt, Outcome, Report] {
@@ -527,19 +516,14 @@
 }
 
 void Simulation::deliver(const WorkerOrder &Order, std::uint64_t SenderTerm,
-                         std::int64_t IntendedIncarnation, bool SendsReply,
-                         Instant SentAt) {
-  const auto IsReachable = [&](const FakeWorker &Worker,
-                               OrderOutcome &Outcome) {
-    return isReachable(Worker, IntendedIncarnation, Outcome);
-  };
+                         bool SendsReply, Instant SentAt) {
   const bool ReplyArrives = SendsReply && SenderTerm == Term;
   if (const auto *Renew = std::get_if<RenewOrder>(&Order)) {
-    deliverRenewal(*Renew, SenderTerm, IntendedIncarnation, ReplyArrives);
+    deliverRenewal(*Renew, SenderTerm, ReplyArrives);
   } else if (const auto *Start = std::get_if<StartOrder>(&Order)) {
     FakeWorker &Worker = *find(Start->Worker.WorkerId);
     OrderOutcome Outcome = OrderOutcome::Unknown;
-    if (IsReachable(Worker, Outcome)) {
+    if (Worker.isReachable()) {
       const std::size_t RunCount = Observed.Runs.size();
       Outcome = Worker.start(*Start, isLongRunning(Start->Task), Time.now(),
                              Observed);
@@ -561,7 +545,7 @@
   } else if (const auto *Stop = std::get_if<StopOrder>(&Order)) {
     FakeWorker &Worker = *find(Stop->Worker.WorkerId);
     OrderOutcome Outcome = OrderOutcome::Unknown;
-    if (IsReachable(Worker, Outcome)) {
+    if (Worker.isReachable()) {
       if (BeforeStop) {
         BeforeStop(Worker, *Stop, Time.now() - SentAt > TimeStep);
       }
@@ -576,7 +560,7 @@
     const auto &Pace = std::get<PaceOrder>(Order);
     FakeWorker &Worker = *find(Pace.Worker.WorkerId);
     OrderOutcome Outcome = OrderOutcome::Unknown;
-    if (IsReachable(Worker, Outcome)) {
+    if (Worker.isReachable()) {
       Outcome = Worker.pace(Pace);
     }
     if (ReplyArrives) {
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -61,7 +61,6 @@
     std::uint32_t Number = 0;
     bool LongRunning = false;
     Instant StartedAt{};
-    WorkerClock LeaseUntil{};
     std::optional<Instant> StopsAt;
     std::size_t TraceIndex = 0;
   };
@@ -89,7 +88,11 @@
   std::size_t MaxListedEnds = 500;
   /// Start orders must carry this ticket; empty for none.
   std::string RequiredTicket;
+  /// A longer lease is shortened to this.
+  WorkerClock MaxLease = std::chrono::seconds(10);
 
+  /// The incarnation of a worker that starts now.
+  static std::int64_t incarnationAt(Instant Now);
   RenewReport renew(const RenewOrder &Order, Instant Now, OrderOutcome &Outcome,
                     History &Observed);
   RenewReport report(Instant Now) const;
@@ -105,6 +108,7 @@
   std::map<TaskRef, unsigned> Paces;
   void advance(Instant Now, History &Observed);
   const std::map<TaskRef, ActiveRun> &runs() const { return Runs; }
+  bool isReachable() const { return !IsDown && !HasCrashed; }
   bool hasEnds() const { return !Ends.empty(); }
   /// Whether a long-running run is at work.
   bool isAtWork(const ActiveRun &Run, Instant Now) const {
@@ -121,10 +125,11 @@
   }
   void end(const TaskRef &Task, const ActiveRun &Run, jobs::RunOutcome End,
            Instant Now, History &Observed);
+  void extendLease(WorkerClock Until, Instant Now);
 
   Instant BootedAt{};
   FencingToken HighestToken;
-  /// Latest expiry of any lease so far.
+  /// Expiry of the leases of all runs. It only grows.
   WorkerClock LeaseUntil{};
   // Index of the trace in the history, by the number of the end.
   std::map<std::uint64_t, std::size_t> TraceByEnd;
@@ -196,9 +201,6 @@
   /// delay after which an order is delivered while its sender gets no reply.
   std::function<bool(const WorkerOrder &)> LosesAnswer;
   std::function<std::optional<Duration>(const WorkerOrder &)> OrderDelay;
-  /// Whether a later incarnation refuses orders for an earlier one. Workers
-  /// that keep their ID carry them out.
-  bool OrdersNameIncarnation = true;
   /// Time from the execution of an order to the arrival of its reply.
   Duration ReplyDelay{};
   std::mt19937_64 Random;
@@ -232,6 +234,7 @@
     Instant SentAt{};
     Instant Until{};
     std::uint64_t SenderTerm = 0;
+    /// The incarnation that the connection is to.
     std::int64_t Incarnation = 0;
   };
 
@@ -239,15 +242,14 @@
   void updateRegistrations();
   void answerLongPolls();
   void deliverRenewal(const RenewOrder &Order, std::uint64_t SenderTerm,
-                      std::int64_t IntendedIncarnation, bool ReplyArrives);
-  bool isReachable(const FakeWorker &Worker, std::int64_t IntendedIncarnation,
-                   OrderOutcome &Outcome) const;
+                      bool ReplyArrives);
   void writeJournal();
   void sendQuery(const PermitQuery &Query);
   void send(const WorkerOrder &Order);
+  /// Delivers the order to whichever incarnation of the worker is up: an order
+  /// names the worker by its ID only.
   void deliver(const WorkerOrder &Order, std::uint64_t SenderTerm,
-               std::int64_t IntendedIncarnation, bool SendsReply,
-               Instant SentAt);
+               bool SendsReply, Instant SentAt);
   /// Delivers a reply after ReplyDelay.
   void reply(std::function<void()> Receive);
   /// Ends the worker process under the run, and starts it again later.
