tests: A task whose run has just begun is not stuck

Trace: the task's run was ordered at 62.270 s on w1 and ran at 62.965 s, when the history ended; a run takes up to 1.5 s. Before, its step 0 had waited for a worker with 2,000 MB of free memory, which its pool lacked while the other pool had work for all of its hosts: allowed by the check. A task is passed over only while a run of it is younger than the run time of its worker; a run that goes on for longer, or a task without a run, is reported as before.

--- a/Tests/Dispatch/FleetChecker.cpp
+++ b/Tests/Dispatch/FleetChecker.cpp
@@ -146,6 +146,15 @@
   });
 }
 
+bool FleetSimulation::hasJustStarted(const TaskRef &Task) const {
+  return std::any_of(
+      Sim.Workers.begin(), Sim.Workers.end(), [&](const FakeWorker &Worker) {
+        const auto RunIt = Worker.runs().find(Task);
+        return RunIt != Worker.runs().end() &&
+               Sim.Time.now() - RunIt->second.StartedAt < Worker.RunDuration;
+      });
+}
+
 void FleetSimulation::checkUnfinishedJob(const std::string &Id) {
   const jobs::Job &Job = *Sim.Table.find(JobId(Id));
   for (unsigned Step = 0; Step < Job.spec().Steps.size(); ++Step) {
@@ -155,6 +164,9 @@
       if (hasEndedDone(Task)) {
         continue;
       }
+      if (hasJustStarted(Task)) {
+        return; // all later tasks wait for this one
+      }
       const std::vector<std::string> WithRoom = workersWithRoom(Task, Spec);
       if (WithRoom.size() >= 2) {
         addTo(JobViolations,
--- a/Tests/Dispatch/FleetSimulation.h
+++ b/Tests/Dispatch/FleetSimulation.h
@@ -153,6 +153,8 @@
   void checkFailedJob(const jobs::Job &Job);
   void checkLiveness();
   bool hasEndedDone(const TaskRef &Task) const;
+  /// Whether a run of the task is in progress that need not have ended yet.
+  bool hasJustStarted(const TaskRef &Task) const;
   bool isPoolIdle(const PoolName &Pool) const;
   void checkTaskRuns(const TaskRef &Task, const jobs::StepSpec &Step);
   std::vector<std::string> workersWithRoom(const TaskRef &Task,
