tests: Orders outlive a restart only while their call is open

An order that a worker carries out after its caller has given up is held by the process that received it, and ends with it; one whose call is still open may reach the next process. HeldOrdersOutliveWorkers lets also the former do so, for the tests that need it.

Workers of the carriers' simulation start again after 150 ms, half of the time at the same address, where they refused all orders for the incarnation before.

--- a/Tests/Control/CarrierSimulation.cpp
+++ b/Tests/Control/CarrierSimulation.cpp
@@ -19,6 +19,8 @@
 constexpr Duration JournalDelay = 5ms;
 constexpr Duration WorkerStep = 5ms;
 constexpr Duration HostListPeriod = 1s;
+/// Time from the end of a worker to its next start.
+constexpr Duration RestartTime = 150ms;
 /// Leaders and carriers learn of a closed connection after this time.
 constexpr Duration RefusalDelay = 2ms;
 
@@ -204,9 +206,21 @@
 }
 
 void CarrierSimulation::crashWorker(FakeWorker &Worker) {
+  Worker.endAll(Time.now(), Observed);
+  Worker.HasCrashed = true;
+  schedule(RestartTime, [this, &Worker] {
+    if (Worker.HasCrashed) {
+      restartWorker(Worker);
+    }
+  });
+}
+
+void CarrierSimulation::restartWorker(FakeWorker &Worker) {
   Worker.crash(Time.now(), Observed);
-  // In this simulation the port tells the incarnations of a worker apart.
-  ++Worker.Record.Address.Port;
+  // At the same address it takes orders for the incarnation before.
+  if (Random() % 2 == 0) {
+    ++Worker.Record.Address.Port;
+  }
 }
 
 void CarrierSimulation::endWorker(FakeWorker &Worker) {
@@ -217,7 +231,7 @@
 
 void CarrierSimulation::reviveWorker(FakeWorker &Worker) {
   if (Worker.HasCrashed) {
-    crashWorker(Worker);
+    restartWorker(Worker);
   }
   Worker.IsDown = false;
 }
@@ -474,14 +488,18 @@
            [this, Order, Reply = std::move(Reply),
             WaitsUntil = Time.now() + Delay +
                          (Renew == nullptr ? Duration::zero() : Renew->Wait)] {
-             deliver(Order, WaitsUntil, Reply);
+             deliver(Order, WaitsUntil, std::nullopt, Reply);
            });
 }
 
 void CarrierSimulation::deliver(const dispatch::WorkerOrder &Order,
-                                Instant WaitsUntil, const AnyReply &Reply) {
+                                Instant WaitsUntil,
+                                std::optional<std::int64_t> ConnectedTo,
+                                const AnyReply &Reply) {
   FakeWorker &Worker = workerFor(Order);
-  if (Worker.IsDown) {
+  const std::int64_t Incarnation = Worker.Record.Instance.Incarnation;
+  if (!Worker.isReachable() ||
+      ConnectedTo.value_or(Incarnation) != Incarnation) {
     return;
   }
   if (Worker.Record.Address.Port != dispatch::workerOf(Order).Port) {
@@ -494,8 +512,8 @@
         Worker.renew(*Renew, Time.now(), Outcome, Observed);
     if (Outcome == OrderOutcome::Done && Report.Ended.empty() &&
         Time.now() < WaitsUntil) {
-      schedule(WorkerStep, [this, Order, WaitsUntil, Reply] {
-        deliver(Order, WaitsUntil, Reply);
+      schedule(WorkerStep, [this, Order, WaitsUntil, Incarnation, Reply] {
+        deliver(Order, WaitsUntil, Incarnation, Reply);
       });
       return;
     }
--- a/Tests/Control/CarrierSimulation.h
+++ b/Tests/Control/CarrierSimulation.h
@@ -29,8 +29,8 @@
   /// Another entry takes over. The earlier leader goes on for that long,
   /// without knowing of it; if it is paused, only afterwards.
   void changeLeader(Duration EarlierContinues, bool EarlierIsPaused);
-  /// The worker's process ends and another one is started at once, which
-  /// refuses orders for the first one.
+  /// The worker's process ends and another one is started soon, at the same
+  /// address or at another one.
   void crashWorker(FakeWorker &Worker);
   /// The worker's process ends, and isn't started again before reviveWorker().
   void endWorker(FakeWorker &Worker);
@@ -126,6 +126,7 @@
   };
 
   void schedule(Duration Delay, std::function<void()> Action);
+  void restartWorker(FakeWorker &Worker);
   void scheduleForLeader(Duration Delay, std::uint64_t Term,
                          std::function<void(Leader &)> Action);
   void scheduleForEntry(unsigned Index, Duration Delay,
@@ -145,7 +146,9 @@
   void callWorker(
       const dispatch::WorkerOrder &Order, Duration Delay, bool IsCut,
       std::function<void(dispatch::OrderOutcome, dispatch::RenewReport)> Reply);
+  /// \p ConnectedTo is the incarnation that the call has reached, if any.
   void deliver(const dispatch::WorkerOrder &Order, Instant WaitsUntil,
+               std::optional<std::int64_t> ConnectedTo,
                const std::function<void(dispatch::OrderOutcome,
                                         dispatch::RenewReport)> &Reply);
   FakeWorker &workerFor(const dispatch::WorkerOrder &Order);
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -107,22 +107,25 @@
 // A start that reached the restarted worker after the restart was known ran
 // beside the next run of its task.
 BOOST_AUTO_TEST_CASE(AStartOnItsWayToARestartedWorkerDoesNotRunBeside) {
-  RestartSimulation Sim(2);
-  unsigned Starts = 0;
-  Sim.OrderDelay = [&](const WorkerOrder &Order) {
-    return std::holds_alternative<StartOrder>(Order) && ++Starts == 1
-               ? std::optional<Duration>(300ms)
-               : std::nullopt;
-  };
-  Sim.submit("a", simpleJob(1));
-  while (Starts == 0) {
-    Sim.run(5ms);
+  for (const Duration Delay : {40ms, 60ms, 300ms, 2000ms}) {
+    RestartSimulation Sim(2);
+    Sim.HeldOrdersOutliveWorkers = true;
+    unsigned Starts = 0;
+    Sim.OrderDelay = [&](const WorkerOrder &Order) {
+      return std::holds_alternative<StartOrder>(Order) && ++Starts == 1
+                 ? std::optional<Duration>(Delay)
+                 : std::nullopt;
+    };
+    Sim.submit("a", simpleJob(1));
+    while (Starts == 0) {
+      Sim.run(5ms);
+    }
+    Sim.restartAll();
+    Sim.registerAll();
+    Sim.run(70s);
+    BOOST_TEST(holds(Sim));
+    BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
   }
-  Sim.restartAll();
-  Sim.registerAll();
-  Sim.run(70s);
-  BOOST_TEST(holds(Sim));
-  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
 }
 
 // A leader that learnt of the restart from the registration alone placed a task
@@ -172,8 +175,7 @@
   Sim.submit("a", longRunningJob(1));
   Sim.run(500ms);
   FakeWorker &Worker = Sim.workerOfRun();
-  const std::string Other =
-      Worker.Record.Instance.Id == "w0" ? "w1" : "w0";
+  const std::string Other = Worker.Record.Instance.Id == "w0" ? "w1" : "w0";
   Sim.JobDispatcher->setCordons({{Other, Cordon::OrderPending}});
   Worker.crash(Sim.Time.now(), Sim.Observed);
   Sim.run(1s);
@@ -211,6 +213,7 @@
   Sim.JobDispatcher->setHostedWorkers({"w0", "w1"});
   Sim.ReplyDelay = 150ms;
   Sim.run(3s); // replies may take longer from now on
+  Sim.HeldOrdersOutliveWorkers = true;
   std::string Intended;
   Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
     if (!std::holds_alternative<StartOrder>(Order) || !Intended.empty()) {
@@ -240,6 +243,23 @@
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
 }
 
+// Host lists from before the restart ended the runs of the next incarnation.
+BOOST_AUTO_TEST_CASE(HostListsFromBeforeARestartDoNotEndTheNextIncarnation) {
+  RestartSimulation Sim(2);
+  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"});
+  Sim.LosesAnswer = [](const WorkerOrder &) { return true; };
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.registerAll();
+  for (unsigned Lists = 0; Lists < 4; ++Lists) {
+    Sim.run(100ms);
+    Sim.JobDispatcher->setHostedWorkers({});
+  }
+  Sim.LosesAnswer = nullptr;
+  Sim.run(70s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
+
 // A start that got no reply and was repeated was carried out by the next
 // incarnation after its task had completed.
 BOOST_AUTO_TEST_CASE(ACompletedTaskIsNotStartedByALateOrder) {
@@ -247,6 +267,7 @@
   for (FakeWorker &Worker : Sim.Workers) {
     Worker.RunDuration = 400ms;
   }
+  Sim.HeldOrdersOutliveWorkers = true;
   unsigned Starts = 0;
   Sim.OrderDelay = [&](const WorkerOrder &Order) {
     return std::holds_alternative<StartOrder>(Order) && ++Starts == 1
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -452,10 +452,17 @@
   const std::optional<Duration> ExtraDelay =
       OrderDelay ? OrderDelay(Order) : std::optional<Duration>();
   const Duration Delay = ExtraDelay.value_or(NetworkDelay);
-  schedule(Delay, [this, Order, SenderTerm = Term, ReplyLost, ExtraDelay,
-                   SentAt = Time.now()] {
-    deliver(Order, SenderTerm, !ReplyLost && !ExtraDelay, SentAt);
-  });
+  const auto Deliver =
+      [this, Order, SenderTerm = Term, SendsReply = !ReplyLost && !ExtraDelay,
+       SentAt = Time.now()] { deliver(Order, SenderTerm, SendsReply, SentAt); };
+  if (Delay <= ReplyTimeout || HeldOrdersOutliveWorkers) {
+    schedule(Delay, Deliver);
+  } else {
+    schedule(ReplyTimeout, [this, Id = workerOf(Order).WorkerId, Deliver,
+                            HeldFor = Delay - ReplyTimeout] {
+      holdOrder(Id, HeldFor, Deliver);
+    });
+  }
   if (!ReplyLost && !ExtraDelay) {
     return;
   }
@@ -479,6 +486,16 @@
   });
 }
 
+void Simulation::holdOrder(const std::string &WorkerId, Duration HeldFor,
+                           const std::function<void()> &Deliver) {
+  schedule(HeldFor,
+           [this, WorkerId, Deliver, Holder = find(WorkerId)->Record.Instance] {
+             if (find(WorkerId)->Record.Instance == Holder) {
+               Deliver();
+             }
+           });
+}
+
 void Simulation::reply(std::function<void()> Receive) {
   if (ReplyDelay == Duration::zero()) {
     Receive();
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -201,6 +201,9 @@
   /// delay after which an order is delivered while its sender gets no reply.
   std::function<bool(const WorkerOrder &)> LosesAnswer;
   std::function<std::optional<Duration>(const WorkerOrder &)> OrderDelay;
+  /// Whether an order that a worker carries out after its sender has given up
+  /// reaches the next incarnation, if the worker is started again meanwhile.
+  bool HeldOrdersOutliveWorkers = false;
   /// Time from the execution of an order to the arrival of its reply.
   Duration ReplyDelay{};
   std::mt19937_64 Random;
@@ -250,6 +253,9 @@
   /// names the worker by its ID only.
   void deliver(const WorkerOrder &Order, std::uint64_t SenderTerm,
                bool SendsReply, Instant SentAt);
+  /// The worker delivers an order to itself later, unless it has ended then.
+  void holdOrder(const std::string &WorkerId, Duration HeldFor,
+                 const std::function<void()> &Deliver);
   /// Delivers a reply after ReplyDelay.
   void reply(std::function<void()> Receive);
   /// Ends the worker process under the run, and starts it again later.
