dispatch: A lease by the clock of a former incarnation is waited for

Run 3 of the users' record lapsed 10.07 s after its start on a worker that had been cut off meanwhile: the longest lease that a worker grants, though the leader asks for 4 s. A lease is asked for as a time on the worker's clock. That starts anew with the worker, so a time that was meant for the former incarnation is far ahead on the next one, which grants the longest lease, to all runs on it, and never shortens it. The leader waited for 4.3 s, and the task ran twice.

A run that no report has listed is waited for as long as the longest lease may last from its start on; so are all runs on a worker that was started again, from its first report on. A later leader does so for workers that started shortly before its term. Other workers are waited for as before, for 4.3 s.

Failed before, pass now: ALeaseByAFormerClockIsWaitedFor, ALeaseByAFormerClockIsWaitedForIfTheRestartIsNotKnown, ARenewalByAFormerClockIsWaitedFor, ALaterLeaderWaitsForALeaseByAFormerClock.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -75,6 +75,7 @@
   Token = NewToken;
   Table = &Jobs;
   TermStart = Time.now();
+  HasPredecessor = !Jobs.jobs().empty();
   for (const auto &[Id, Job] : Jobs.jobs()) {
     adoptPlacedRuns(Job);
     updateMeanWork(Job);
@@ -203,11 +204,13 @@
   return Claim;
 }
 
-void Dispatcher::extendLeaseExpiry(WorkerState &Worker, Instant Now) {
-  const Duration MaxLease =
-      Settings.RunLease * (100 + Settings.ClockSlackPercent) / 100 +
-      LeaseExpiryMargin;
-  Worker.LeasesExpireAt = std::max(Worker.LeasesExpireAt, Now + MaxLease);
+Duration Dispatcher::leaseBound(Duration Lease) const {
+  return Lease * (100 + Settings.ClockSlackPercent) / 100 + LeaseExpiryMargin;
+}
+
+void Dispatcher::extendLeaseExpiry(WorkerState &Worker, Instant Now) const {
+  Worker.LeasesExpireAt =
+      std::max(Worker.LeasesExpireAt, Now + leaseBound(Settings.RunLease));
 }
 
 void Dispatcher::handleRecorded(const std::vector<JobEvent> &RecordedEvents) {
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -19,6 +19,8 @@
 /// at 20 ms for 1,000 workers.
 constexpr Duration SweepPeriodPerWorker = std::chrono::microseconds(20);
 constexpr Duration ForgetPeriod = std::chrono::seconds(1);
+/// How far the clocks of hosts may be apart.
+constexpr Duration MaxWallClockError = std::chrono::seconds(5);
 /// Replies count as getting lost for this long after a lost one.
 constexpr Duration LossyTime = std::chrono::seconds(3);
 
@@ -89,7 +91,7 @@
   std::vector<std::pair<TaskRef, RunOutcome>> Outcomes;
   for (const auto &[Task, Run] : Worker.Runs) {
     if (Run.Phase == RunPhase::Ending || Run.Phase == RunPhase::Proposed ||
-        Now < Worker.LeasesExpireAt) {
+        Now < runExpiry(Worker, Run)) {
       continue;
     }
     if (Run.OutcomeIfMissing) {
@@ -110,6 +112,30 @@
   }
 }
 
+Instant Dispatcher::runExpiry(const WorkerState &Worker,
+                              const RunState &Run) const {
+  return Run.mayBeTakenLater()
+             ? std::max(Worker.LeasesExpireAt,
+                        Run.StartsSettledAt + leaseBound(Settings.MaxRunLease))
+             : Worker.LeasesExpireAt;
+}
+
+bool Dispatcher::mayHoldEarlierLease(const WorkerState &Worker) const {
+  if (Worker.HasRestarted) {
+    return true;
+  }
+  // An earlier leader may have known an earlier incarnation. It sent no more
+  // orders for that one once it had learnt of this one, by the next renewal at
+  // the latest.
+  const WallTime Now = Time.wallNow();
+  const WallTime Born(
+      std::chrono::milliseconds(Worker.Record.Instance.Incarnation));
+  const Duration LongestEffect = Settings.IdleRenewalPeriod + MaxDeliveryTime +
+                                 leaseBound(Settings.MaxRunLease);
+  return HasPredecessor && Now - Born < LongestEffect + MaxWallClockError &&
+         Born < Now - (Time.now() - TermStart) + MaxWallClockError;
+}
+
 void Dispatcher::orderStops(WorkerState &Worker) {
   if (!Worker.IsRegistered && !Worker.HasReported) {
     return;
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -77,6 +77,11 @@
     // renewals by earlier lease holders.
     Worker.LeasesExpireAt = {};
     extendLeaseExpiry(Worker, Now);
+    if (mayHoldEarlierLease(Worker)) {
+      // Orders that are still on their way may lengthen the leases, too.
+      Worker.LeasesExpireAt =
+          Now + MaxDeliveryTime + leaseBound(Settings.MaxRunLease);
+    }
   }
   Worker.IsUnresponsive = false;
   Worker.HasEnded = false;
--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -87,6 +87,7 @@
   }
   handleWorkerGone(Worker, Incarnation, "its worker was started again");
   if (Worker.Record.Instance.Incarnation != 0) {
+    Worker.HasRestarted = true;
     Log.write(LogLevel::Info, "worker-restarted",
               {{"worker", Worker.Record.Instance.Id},
                {"born", Incarnation},
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -30,6 +30,9 @@
   /// so that tasks of a lost worker restart elsewhere soon, but long enough for
   /// a change of the lease holder.
   Duration RunLease = std::chrono::seconds(4);
+  /// The longest lease that a worker grants. It grants this if the clock of an
+  /// earlier incarnation was far ahead of its own.
+  Duration MaxRunLease = std::chrono::seconds(10);
   /// How much slower a worker's clock may run, in percent.
   unsigned ClockSlackPercent = 3;
   /// How long an earlier lease holder may have renewed run leases while it
@@ -246,6 +249,13 @@
   /// Declares the runs lost whose leases have expired, and remembers those that
   /// may have crashed the worker.
   void expireRuns(WorkerState &Worker, Instant Now);
+  /// When the run has ended if the worker isn't heard of until then.
+  Instant runExpiry(const WorkerState &Worker, const RunState &Run) const;
+  /// The time that a lease may last if it was granted by the worker now.
+  Duration leaseBound(Duration Lease) const;
+  /// Whether a lease on the worker may have been asked for by the clock of an
+  /// earlier incarnation.
+  bool mayHoldEarlierLease(const WorkerState &Worker) const;
   void orderStops(WorkerState &Worker);
   void orderPaces(WorkerState &Worker, Instant Now);
   void adjustPace(WorkerState &Worker, Instant Now);
@@ -257,7 +267,7 @@
   /// It isn't known whether the worker has started the run or still will.
   void leaveStartUncertain(WorkerState &Worker, RunState &Run);
   /// Raises LeasesExpireAt for leases that are granted at \p Now.
-  void extendLeaseExpiry(WorkerState &Worker, Instant Now);
+  void extendLeaseExpiry(WorkerState &Worker, Instant Now) const;
   void forgetClosedJobs();
 
   /// Adds a new job to the mean work of its queue.
@@ -334,6 +344,8 @@
   std::shared_ptr<const Deployment> Config;
   FencingToken Token;
   Instant TermStart{};
+  // An earlier lease holder may have sent orders to workers.
+  bool HasPredecessor = false;
   bool Fenced = false;
   bool PlanNeeded = false;
   Instant NextSweepAt{};
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -162,6 +162,8 @@
   Instant UnresponsiveSince{};
   /// When the incarnation was learnt in this term.
   Instant IncarnationLearntAt{};
+  /// An earlier incarnation was known in this term.
+  bool HasRestarted = false;
   /// The incarnation before, if its number is higher: the clock of the host was
   /// set back since. Its registration and replies may still arrive. 0 for none.
   std::int64_t SupersededIncarnation = 0;
@@ -198,7 +200,8 @@
   bool WasListed = false;
   /// Local time when Clock was received.
   Instant ClockReceivedAt{};
-  /// The time when all leases granted so far have expired.
+  /// The time when all leases granted so far have expired on the incarnation
+  /// that they were meant for.
   Instant LeasesExpireAt{};
   /// Highest sequence number of an end that was processed.
   std::uint64_t LastSeenEnd = 0;
