dispatch: A restarted worker refuses starts that were left unanswered

A start without a reply that was repeated may be carried out seconds later; the incarnation that ran the task refuses it then, as it knows the run. The next one doesn't, and ran the task again after it had completed. The leader keeps the starts of ended runs that got no reply for 15 s, and tells a new incarnation to refuse them at its first report. A start that arrives before that report is not prevented by this.

Failed before, passes now: ACompletedTaskIsNotStartedByALateOrder.

--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -171,6 +171,10 @@
   if (RunIt == Worker.Runs.end()) {
     return;
   }
+  const RunState &Run = RunIt->second;
+  if (Run.UnansweredStarts > 0) {
+    Worker.FormerStarts.push_back({Task, Run.Number, Run.StartsSettledAt});
+  }
   Worker.Runs.erase(RunIt);
   const auto JobIt = RunCountsByJob.find(Task.Job);
   const auto CountIt = JobIt->second.find(Worker.Record.Instance.Id);
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -19,6 +19,8 @@
 /// at 20 ms for 1,000 workers.
 constexpr Duration SweepPeriodPerWorker = std::chrono::microseconds(20);
 constexpr Duration ForgetPeriod = std::chrono::seconds(1);
+/// An order without a reply is carried out no later than this.
+constexpr Duration MaxOrderDelay = std::chrono::seconds(15);
 /// How far the clocks of hosts may be apart.
 constexpr Duration MaxWallClockError = std::chrono::seconds(5);
 /// Replies count as getting lost for this long after a lost one.
@@ -78,8 +80,12 @@
         (Worker.IsUnresponsive || !Worker.HasReported)) {
       expireRuns(Worker, Now);
     }
+    std::erase_if(Worker.FormerStarts, [Now](const FormerStart &Start) {
+      return Start.SettledAt + MaxOrderDelay < Now;
+    });
     if (!Worker.IsRegistered && Worker.Runs.empty() &&
-        Worker.PossibleCrashes.empty() && Now >= Worker.LeasesExpireAt) {
+        Worker.PossibleCrashes.empty() && Worker.FormerStarts.empty() &&
+        Now >= Worker.LeasesExpireAt) {
       WorkerIt = Workers.erase(WorkerIt);
     } else {
       ++WorkerIt;
@@ -136,6 +142,16 @@
          Born < Now - (Time.now() - TermStart) + MaxWallClockError;
 }
 
+void Dispatcher::refuseFormerStarts(WorkerState &Worker) {
+  if (!Worker.HasRestarted) {
+    return;
+  }
+  for (const FormerStart &Start : Worker.FormerStarts) {
+    Orders.emplace_back(
+        StopOrder{Worker.address(), Token, Start.Task, Start.Run});
+  }
+}
+
 void Dispatcher::orderStops(WorkerState &Worker) {
   if (!Worker.IsRegistered && !Worker.HasReported) {
     return;
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -82,6 +82,7 @@
       Worker.LeasesExpireAt =
           Now + MaxDeliveryTime + leaseBound(Settings.MaxRunLease);
     }
+    refuseFormerStarts(Worker);
   }
   Worker.IsUnresponsive = false;
   Worker.HasEnded = false;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -256,6 +256,9 @@
   /// Whether a lease on the worker may have been asked for by the clock of an
   /// earlier incarnation.
   bool mayHoldEarlierLease(const WorkerState &Worker) const;
+  /// Makes the present incarnation refuse starts that were left unanswered by
+  /// earlier ones.
+  void refuseFormerStarts(WorkerState &Worker);
   void orderStops(WorkerState &Worker);
   void orderPaces(WorkerState &Worker, Instant Now);
   void adjustPace(WorkerState &Worker, Instant Now);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -119,6 +119,14 @@
   }
 };
 
+/// A run that has ended, some of whose start orders got no reply.
+struct FormerStart {
+  TaskRef Task;
+  std::uint32_t Run = 0;
+  /// When the calls with these orders had ended.
+  Instant SettledAt{};
+};
+
 /// Whether the worker is kept free of new work for its host.
 enum class Cordon {
   None,
@@ -227,6 +235,8 @@
   std::map<TaskRef, RunState> Runs;
   /// Runs that were declared lost while the worker couldn't be reached.
   std::vector<PossibleCrash> PossibleCrashes;
+  /// Starts that a later incarnation must refuse.
+  std::vector<FormerStart> FormerStarts;
   // Invariant: the sum of the claims of all Runs that are not in phase Ending.
   Resources ClaimedResources;
   /// Resources of the runs in the last report that are not among Runs. They are
