dispatch: Host lists from before a restart don't end the next incarnation

Lists without the worker now count from two seconds after its incarnation was learnt also if it hasn't reported yet, and those from before the restart don't count.

Failed before, passes now: HostListsFromBeforeARestartDoNotEndTheNextIncarnation.

--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -104,6 +104,7 @@
                Time.now() + (Worker.Runs.empty() ? UnresponsiveRenewalPeriod
                                                  : Duration::zero()));
   Worker.WasListed = false;
+  Worker.ListsWithoutHost = 0;
   Worker.OrphanedResources = {};
   Worker.LastSeenEnd = 0;
   Worker.LastEndInBatch = 0;
@@ -259,12 +260,11 @@
       Worker.WasListed = true;
       continue;
     }
-    // Lists may lag behind the start of a worker that has reported.
-    const bool IsListable =
-        Worker.WasListed || Now - Worker.IncarnationLearntAt > MaxHostListLag;
-    const bool MayBeGone =
-        !Worker.HasReported || (Worker.IsUnresponsive && IsListable);
-    if (!MayBeGone) {
+    // Lists may lag behind the start of the incarnation.
+    const bool IsListable = Worker.WasListed ||
+                            Worker.IncarnationLearntAt == Instant() ||
+                            Now - Worker.IncarnationLearntAt > MaxHostListLag;
+    if (!IsListable || (Worker.HasReported && !Worker.IsUnresponsive)) {
       continue;
     }
     for (auto &[Task, Run] : Worker.Runs) {
