dispatch: Ends of a restarted worker are not acknowledged unseen

A renewal acknowledges the ends that are recorded by their numbers.

A renewal acknowledges nothing if the worker has a run that it has not listed and its last report is older than the 100 ms that a restart takes at least; the next one does. A worker that is started again faster than that is not covered.

--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -62,6 +62,7 @@
                 {{"worker", WorkerId}, {"outcome", static_cast<int>(Outcome)}});
     }
     Worker.setUnresponsive(Now);
+    Worker.IsAckWithheld = false;
     ++Worker.UnansweredRenewals;
     Worker.NextRenewalAt = Now + renewalRetryDelay(Worker);
     return;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -263,6 +263,10 @@
   void orderPaces(WorkerState &Worker, Instant Now);
   void adjustPace(WorkerState &Worker, Instant Now);
   void orderRenewal(WorkerState &Worker, Instant Now, bool MayRenew);
+  /// The number of the end up to which the worker may forget ends. It is 0 if
+  /// the worker may have restarted with a run that it has not reported: a new
+  /// incarnation counts its ends from 1 and would forget them.
+  static std::uint64_t acknowledgedEnd(WorkerState &Worker, Instant Now);
   void orderStart(WorkerState &Worker, const TaskRef &Task, RunState &Run);
   /// Sends a start order, also again if it got no reply. The journal must have
   /// the run as the current one of its task.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -213,6 +213,8 @@
   Instant LeasesExpireAt{};
   /// Highest sequence number of an end that was processed.
   std::uint64_t LastSeenEnd = 0;
+  /// The last renewal acknowledged no ends, as the worker may have restarted.
+  bool IsAckWithheld = false;
   /// Value of LastSeenEnd when the events that are being recorded were taken.
   std::uint64_t LastEndInBatch = 0;
   /// Highest sequence number of an end that is recorded.
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -283,3 +283,20 @@
   BOOST_TEST(holds(Sim));
   BOOST_TEST(Sim.countStarts("a") == 1);
 }
+
+// A renewal that acknowledged the ends of the former incarnation made the next
+// one forget an end that no report had listed; the completed task ran again.
+BOOST_AUTO_TEST_CASE(EndsOfARestartedWorkerAreNotAcknowledgedUnseen) {
+  RestartSimulation Sim(1);
+  FakeWorker &Worker = Sim.Workers.front();
+  Worker.RunDuration = 400ms;
+  Sim.submit("first", simpleJob(3));
+  Sim.run(2s);
+  BOOST_REQUIRE((Sim.job("first").Record.State == jobs::JobState::Completed));
+  Worker.RunDuration = 10ms;
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.run(5s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
