control: No start is ordered after the leader's lease has run out

A leader that was paused woke, found its start order unanswered and repeated it; it didn't look at its own lease, as workers refuse orders with an old token. Starts are now looked at right before they are sent, and are left out with a line start-withheld once the lease has run out by the clock that counts suspension. The simulated leaders do so, too; their starts that are on their way at that moment still arrive.

Failed before, passes now: NoStartIsOrderedAfterTheLease (2 starts instead of 1).

--- a/Source/Control/JobControllerTicks.cpp
+++ b/Source/Control/JobControllerTicks.cpp
@@ -156,6 +156,17 @@
       });
     }
   };
+  if (const auto *Start = std::get_if<dispatch::StartOrder>(&Order);
+      Start != nullptr && !holdsLease()) {
+    // A restarted worker doesn't know the token of the next leader yet.
+    Log.write(LogLevel::Info, "start-withheld",
+              {{"job", Start->Task.Job.Text},
+               {"run", Start->Run},
+               {"worker", Start->Worker.WorkerId},
+               {"why", "the lease has run out"}});
+    JobDispatcher.handleStartReply(*Start, dispatch::OrderOutcome::Unhealthy);
+    return;
+  }
   Load.noteOrder(Order);
   std::visit(Visitor{*this, TermNumber}, Order);
 }
--- a/Tests/Control/CarrierSimulation.cpp
+++ b/Tests/Control/CarrierSimulation.cpp
@@ -390,6 +390,12 @@
 void CarrierSimulation::sendOrder(Leader &Of,
                                   const dispatch::WorkerOrder &Order) {
   const std::uint64_t Term = Of.Term;
+  if (const auto *Start = std::get_if<dispatch::StartOrder>(&Order);
+      Start != nullptr && Term != LastTerm) {
+    // Its lease has run out.
+    Of.JobDispatcher->handleStartReply(*Start, OrderOutcome::Unhealthy);
+    return;
+  }
   if (const auto *Renew = std::get_if<dispatch::RenewOrder>(&Order)) {
     Of.Pool->renew(*Renew, [this, Term, Id = Renew->Worker.WorkerId,
                             SentAt = Time.now()](OrderOutcome Outcome,
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -50,6 +50,31 @@
   EventLoop &Loop;
 };
 
+/// Workers whose start orders are answered by the test.
+class WorkersWithOpenStarts final : public WorkerPort {
+public:
+  explicit WorkersWithOpenStarts(EventLoop &CallbackLoop)
+      : Loop(CallbackLoop) {}
+
+  void renew(const dispatch::RenewOrder &, RenewCallback Callback) override {
+    dispatch::RenewReport Report;
+    Report.Incarnation = 5;
+    Loop.after(1ms, [Callback = std::move(Callback), Report] {
+      Callback(dispatch::OrderOutcome::Done, Report);
+    });
+  }
+  void start(const dispatch::StartOrder &, ReplyCallback Callback) override {
+    Starts.push_back(std::move(Callback));
+  }
+  void stop(const dispatch::StopOrder &, ReplyCallback) override {}
+  void pace(const dispatch::PaceOrder &, ReplyCallback) override {}
+
+  std::vector<ReplyCallback> Starts;
+
+private:
+  EventLoop &Loop;
+};
+
 dispatch::WorkerRecord registeredWorker(const std::string &Id) {
   dispatch::WorkerRecord Record;
   Record.Instance = {Id, 5};
@@ -619,6 +644,27 @@
   BOOST_TEST((FirstEntry->knownLeader() == NextLeader));
 }
 
+// A leader that had been paused repeated a start after its lease had run out; a
+// restarted worker, which knew no later token, carried it out.
+BOOST_FIXTURE_TEST_CASE(NoStartIsOrderedAfterTheLease, ElectionFixture) {
+  for (const bool IsLeaseLost : {false, true}) {
+    WorkersWithOpenStarts OpenWorkers(Loop);
+    WorkerAdapter = &OpenWorkers;
+    auto Leader = startEntry("one");
+    BOOST_TEST(runUntil([&] { return Leader->isLeading(); }));
+    Leader->updateWorkers({{"w", registeredWorker("w")}});
+    sendRequest(*Leader, submitJob(IsLeaseLost ? "b" : "a"));
+    BOOST_REQUIRE(runUntil([&] { return OpenWorkers.Starts.size() == 1; }));
+    Store.IsUnavailable = IsLeaseLost;
+    runFor(1200ms);
+    OpenWorkers.Starts.front()(dispatch::OrderOutcome::Unknown);
+    runFor(100ms);
+    BOOST_TEST(OpenWorkers.Starts.size() == (IsLeaseLost ? 1U : 2U));
+    Store.IsUnavailable = false;
+    Leader->retire();
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(APossiblyExecutedRequestIsRetriedUntilItsDeadline,
                         ElectionFixture) {
   auto Leader = startEntry("one");
