--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -75,6 +75,7 @@
   Token = NewToken;
   Table = &Jobs;
   TermStart = Time.now();
+  HasPredecessor = !Jobs.jobs().empty();
   for (const auto &[Id, Job] : Jobs.jobs()) {
     adoptPlacedRuns(Job);
     updateMeanWork(Job);
@@ -143,6 +144,7 @@
                                Task.Worker.Incarnation);
         Run.Phase = RunPhase::Uncertain;
         Run.FromEarlierTerm = true;
+        Run.StartsSettledAt = TermStart;
         if (Run.BestEffort) {
           Run.Pace.reset();
           Worker.TargetPace = {AdoptedPacePercent, TermStart};
@@ -165,9 +167,15 @@
 }
 
 void Dispatcher::removeRun(WorkerState &Worker, const TaskRef &Task) {
-  if (Worker.Runs.erase(Task) == 0) {
+  const auto RunIt = Worker.Runs.find(Task);
+  if (RunIt == Worker.Runs.end()) {
     return;
   }
+  const RunState &Run = RunIt->second;
+  if (Run.UnansweredStarts > 0) {
+    Worker.FormerStarts.push_back({Task, Run.Number, Run.StartsSettledAt});
+  }
+  Worker.Runs.erase(RunIt);
   const auto JobIt = RunCountsByJob.find(Task.Job);
   const auto CountIt = JobIt->second.find(Worker.Record.Instance.Id);
   if (--CountIt->second == 0) {
@@ -200,11 +208,13 @@
   return Claim;
 }
 
-void Dispatcher::extendLeaseExpiry(WorkerState &Worker, Instant Now) {
-  const Duration MaxLease =
-      Settings.RunLease * (100 + Settings.ClockSlackPercent) / 100 +
-      LeaseExpiryMargin;
-  Worker.LeasesExpireAt = std::max(Worker.LeasesExpireAt, Now + MaxLease);
+Duration Dispatcher::leaseBound(Duration Lease) const {
+  return Lease * (100 + Settings.ClockSlackPercent) / 100 + LeaseExpiryMargin;
+}
+
+void Dispatcher::extendLeaseExpiry(WorkerState &Worker, Instant Now) const {
+  Worker.LeasesExpireAt =
+      std::max(Worker.LeasesExpireAt, Now + leaseBound(Settings.RunLease));
 }
 
 void Dispatcher::handleRecorded(const std::vector<JobEvent> &RecordedEvents) {
@@ -271,11 +281,15 @@
   orderStart(Worker, Event.Task, *Run);
 }
 
-bool Dispatcher::isCurrentRun(const TaskRef &Task, std::uint32_t Run) const {
+std::uint32_t Dispatcher::currentRun(const TaskRef &Task) const {
   const jobs::Job *Job = Table->find(Task.Job);
   const TaskRecord *Record = Job == nullptr ? nullptr : Job->find(Task);
-  return Record != nullptr && Record->Phase == TaskPhase::Placed &&
-         Record->Run == Run;
+  return Record != nullptr && Record->Phase == TaskPhase::Placed ? Record->Run
+                                                                 : 0;
+}
+
+bool Dispatcher::isCurrentRun(const TaskRef &Task, std::uint32_t Run) const {
+  return currentRun(Task) == Run;
 }
 
 void Dispatcher::applyRecorded(const jobs::TaskEnded &Event) {
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -10,6 +10,7 @@
 namespace balsamlatch::dispatch {
 
 using jobs::JobEvent;
+using jobs::RunOutcome;
 
 namespace {
 
@@ -18,6 +19,12 @@
 /// at 20 ms for 1,000 workers.
 constexpr Duration SweepPeriodPerWorker = std::chrono::microseconds(20);
 constexpr Duration ForgetPeriod = std::chrono::seconds(1);
+/// An order without a reply is carried out no later than this.
+constexpr Duration MaxOrderDelay = std::chrono::seconds(15);
+/// Time that a worker takes to start again at least.
+constexpr Duration MinRestartTime = std::chrono::milliseconds(100);
+/// How far the clocks of hosts may be apart.
+constexpr Duration MaxWallClockError = std::chrono::seconds(5);
 /// Replies count as getting lost for this long after a lost one.
 constexpr Duration LossyTime = std::chrono::seconds(3);
 
@@ -73,12 +80,14 @@
     WorkerState &Worker = WorkerIt->second;
     if (!Worker.Runs.empty() && Now >= Worker.LeasesExpireAt &&
         (Worker.IsUnresponsive || !Worker.HasReported)) {
-      notePossibleCrashes(Worker);
-      endAllAsLost(Worker,
-                   "its worker can't be reached and the lease has run out");
+      expireRuns(Worker, Now);
     }
+    std::erase_if(Worker.FormerStarts, [Now](const FormerStart &Start) {
+      return Start.SettledAt + MaxOrderDelay < Now;
+    });
     if (!Worker.IsRegistered && Worker.Runs.empty() &&
-        Worker.PossibleCrashes.empty() && Now >= Worker.LeasesExpireAt) {
+        Worker.PossibleCrashes.empty() && Worker.FormerStarts.empty() &&
+        Now >= Worker.LeasesExpireAt) {
       WorkerIt = Workers.erase(WorkerIt);
     } else {
       ++WorkerIt;
@@ -86,6 +95,65 @@
   }
 }
 
+void Dispatcher::expireRuns(WorkerState &Worker, Instant Now) {
+  std::vector<std::pair<TaskRef, RunOutcome>> Outcomes;
+  for (const auto &[Task, Run] : Worker.Runs) {
+    if (Run.Phase == RunPhase::Ending || Run.Phase == RunPhase::Proposed ||
+        Now < runExpiry(Worker, Run)) {
+      continue;
+    }
+    if (Run.OutcomeIfMissing) {
+      Outcomes.emplace_back(Task, *Run.OutcomeIfMissing);
+      continue;
+    }
+    const RunOutcome CrashOutcome = crashOutcome(Worker, Run);
+    if (jobs::isCrash(CrashOutcome)) {
+      Worker.PossibleCrashes.push_back({Task, Run.Number, CrashOutcome});
+    }
+    Outcomes.emplace_back(Task, lostOutcome(Run));
+  }
+  for (const auto &[Task, Outcome] : Outcomes) {
+    RunState &Run = Worker.Runs.at(Task);
+    logLostRun(Worker, Task, Run,
+               "its worker can't be reached and the lease has run out");
+    proposeEnd(Worker, Task, Run, Outcome, Run.Checkpoint);
+  }
+}
+
+Instant Dispatcher::runExpiry(const WorkerState &Worker,
+                              const RunState &Run) const {
+  return Run.mayBeTakenLater()
+             ? std::max(Worker.LeasesExpireAt,
+                        Run.StartsSettledAt + leaseBound(Settings.MaxRunLease))
+             : Worker.LeasesExpireAt;
+}
+
+bool Dispatcher::mayHoldEarlierLease(const WorkerState &Worker) const {
+  if (Worker.HasRestarted) {
+    return true;
+  }
+  // An earlier leader may have known an earlier incarnation. It sent no more
+  // orders for that one once it had learnt of this one, by the next renewal at
+  // the latest.
+  const WallTime Now = Time.wallNow();
+  const WallTime Born(
+      std::chrono::milliseconds(Worker.Record.Instance.Incarnation));
+  const Duration LongestEffect = Settings.IdleRenewalPeriod + MaxDeliveryTime +
+                                 leaseBound(Settings.MaxRunLease);
+  return HasPredecessor && Now - Born < LongestEffect + MaxWallClockError &&
+         Born < Now - (Time.now() - TermStart) + MaxWallClockError;
+}
+
+void Dispatcher::refuseFormerStarts(WorkerState &Worker) {
+  if (!Worker.HasRestarted) {
+    return;
+  }
+  for (const FormerStart &Start : Worker.FormerStarts) {
+    Orders.emplace_back(
+        StopOrder{Worker.address(), Token, Start.Task, Start.Run});
+  }
+}
+
 void Dispatcher::orderStops(WorkerState &Worker) {
   if (!Worker.IsRegistered && !Worker.HasReported) {
     return;
@@ -101,7 +169,11 @@
     if (Run.StopConfirmedAt) {
       continue; // the next report contains the end of the run
     }
+    if (Run.OutcomeIfMissing && !Worker.HasReported) {
+      continue; // the first report may show that the run has been started
+    }
     Run.StopInFlight = true;
+    Run.StopOrderedAt = Time.now();
     Orders.emplace_back(StopOrder{Worker.address(), Token, Task, Run.Number});
   }
 }
@@ -123,6 +195,17 @@
   }
 }
 
+std::uint64_t Dispatcher::acknowledgedEnd(WorkerState &Worker, Instant Now) {
+  const bool MayHaveRestarted = Now - Worker.LastReportAt > MinRestartTime;
+  const bool HasUnreportedRun = std::any_of(
+      Worker.Runs.begin(), Worker.Runs.end(),
+      [](const auto &RunEntry) { return RunEntry.second.mayBeTakenLater(); });
+  // The reply to this renewal shows whether it has restarted.
+  Worker.IsAckWithheld =
+      MayHaveRestarted && HasUnreportedRun && !Worker.IsAckWithheld;
+  return Worker.IsAckWithheld ? 0 : Worker.LastRecordedEnd;
+}
+
 void Dispatcher::orderRenewal(WorkerState &Worker, Instant Now, bool MayRenew) {
   if (Worker.RenewalInFlight || Now < Worker.NextRenewalAt ||
       Worker.Record.Address.Ip.empty() ||
@@ -135,7 +218,7 @@
     Order.Worker.ReplyTimeout = Worker.patience();
   }
   Order.Token = Token;
-  Order.LastRecordedEnd = Worker.LastRecordedEnd;
+  Order.LastRecordedEnd = acknowledgedEnd(Worker, Now);
   // The worker reports ends that aren't recorded yet again at once, so a long
   // poll would not wait.
   const bool HasUnrecordedEnds = Worker.LastSeenEnd != Worker.LastRecordedEnd;
@@ -177,6 +260,7 @@
              {"task", taskPath(Task)},
              {"run", Run.Number},
              {"worker", Worker.Record.Instance.Id},
+             {"born", Worker.Record.Instance.Incarnation},
              {"used_cpu_milli", Worker.ClaimedResources.CpuMilli},
              {"report_age_ms", toMilliseconds(Now - Worker.LastReportAt)}});
   sendStart(Worker, Task, Run);
@@ -192,6 +276,8 @@
   Order.Worker.ReplyTimeout = std::min<Duration>(
       Order.Worker.ReplyTimeout, Worker.patience() * (1U << Run.StartAttempts));
   ++Run.StartAttempts;
+  ++Run.UnansweredStarts;
+  Run.StartsSettledAt = Now + DeliveryTimeFactor * Order.Worker.ReplyTimeout;
   Order.Token = Token;
   Order.Task = Task;
   Order.Run = Run.Number;
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -62,6 +62,7 @@
                 {{"worker", WorkerId}, {"outcome", static_cast<int>(Outcome)}});
     }
     Worker.setUnresponsive(Now);
+    Worker.IsAckWithheld = false;
     ++Worker.UnansweredRenewals;
     Worker.NextRenewalAt = Now + renewalRetryDelay(Worker);
     return;
@@ -77,6 +78,12 @@
     // renewals by earlier lease holders.
     Worker.LeasesExpireAt = {};
     extendLeaseExpiry(Worker, Now);
+    if (mayHoldEarlierLease(Worker)) {
+      // Orders that are still on their way may lengthen the leases, too.
+      Worker.LeasesExpireAt =
+          Now + MaxDeliveryTime + leaseBound(Settings.MaxRunLease);
+    }
+    refuseFormerStarts(Worker);
   }
   Worker.IsUnresponsive = false;
   Worker.HasEnded = false;
@@ -232,8 +239,11 @@
                   : Worker.Record.Capacity;
   Log.write(LogLevel::Info, "run-orphaned",
             {{"job", ReportedRun.Task.Job.Text},
+             {"task", taskPath(ReportedRun.Task)},
              {"run", ReportedRun.Run},
              {"worker", Worker.Record.Instance.Id},
+             {"born", Worker.Record.Instance.Incarnation},
+             {"current_run", currentRun(ReportedRun.Task)},
              {"why", "the journal has no such run on this worker"}});
   Orders.emplace_back(
       StopOrder{Worker.address(), Token, ReportedRun.Task, ReportedRun.Run});
@@ -248,6 +258,8 @@
   if (Run.Phase != RunPhase::Proposed) {
     Run.Phase = RunPhase::Running;
   }
+  Run.ReportedBy = Worker.Record.Instance.Incarnation;
+  Run.OutcomeIfMissing.reset();
   if (Run.StartedAt == Instant()) {
     Run.StartedAt = Now;
   }
@@ -322,7 +334,9 @@
         (Run.FromEarlierTerm ||
          (Run.StopConfirmedAt && *Run.StopConfirmedAt < SentAt));
     if (HasEnded || CannotStart) {
-      proposeEnd(Worker, Task, Run, lostOutcome(Run), Run.Checkpoint);
+      proposeEnd(Worker, Task, Run,
+                 Run.OutcomeIfMissing.value_or(lostOutcome(Run)),
+                 Run.Checkpoint);
     }
   }
 }
@@ -332,11 +346,20 @@
   RunState *Run = Table == nullptr
                       ? nullptr
                       : findRun(Order.Worker.WorkerId, Order.Task, Order.Run);
-  if (Run == nullptr || Run->Phase != RunPhase::Ordered) {
+  if (Run == nullptr) {
     return;
   }
   WorkerState &Worker = Workers.at(Order.Worker.WorkerId);
+  if (Outcome != OrderOutcome::Unknown && Run->UnansweredStarts > 0) {
+    --Run->UnansweredStarts;
+  }
+  if (Run->Phase != RunPhase::Ordered) {
+    return;
+  }
   const Instant Now = Time.now();
+  const bool IsForPresentIncarnation =
+      !Worker.HasEnded &&
+      Run->WorkerIncarnation == Worker.Record.Instance.Incarnation;
   PlanNeeded = true;
   switch (Outcome) {
   case OrderOutcome::Done:
@@ -348,8 +371,9 @@
         std::min(Worker.NextRenewalAt, Now + Settings.RenewalPeriod);
     return;
   case OrderOutcome::Unknown:
-    if (Run->StartAttempts < MaxStartAttempts && !Run->StopRequested &&
-        Worker.hasRoomForClaims() && isCurrentRun(Order.Task, Order.Run)) {
+    if (IsForPresentIncarnation && Run->StartAttempts < MaxStartAttempts &&
+        !Run->StopRequested && Worker.hasRoomForClaims() &&
+        isCurrentRun(Order.Task, Order.Run)) {
       sendStart(Worker, Order.Task, *Run);
     } else {
       leaveStartUncertain(Worker, *Run);
@@ -472,8 +496,10 @@
   }
   Run->StopInFlight = false;
   if (Outcome == OrderOutcome::Done || Outcome == OrderOutcome::StaleRun) {
-    Run->StopConfirmedAt = Time.now();
     WorkerState &Worker = Workers.at(Order.Worker.WorkerId);
+    if (Run->StopOrderedAt >= Worker.IncarnationLearntAt) {
+      Run->StopConfirmedAt = Time.now();
+    }
     Worker.NextRenewalAt = std::min(Worker.NextRenewalAt, Time.now());
   }
   Fenced = Fenced || Outcome == OrderOutcome::Fenced;
--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -20,6 +20,8 @@
 constexpr unsigned MinListsWithoutHost = 2;
 /// A host list shows a worker this long after its start at the latest.
 constexpr Duration MaxHostListLag = std::chrono::seconds(2);
+/// The incarnation of a worker that isn't up; later than all others.
+constexpr std::int64_t NoIncarnation = std::numeric_limits<std::int64_t>::max();
 /// A worker that so many host lists still show is out of reach, but not gone.
 constexpr unsigned MaxListsWhileUnresponsive = 4;
 
@@ -85,6 +87,7 @@
   }
   handleWorkerGone(Worker, Incarnation, "its worker was started again");
   if (Worker.Record.Instance.Incarnation != 0) {
+    Worker.HasRestarted = true;
     Log.write(LogLevel::Info, "worker-restarted",
               {{"worker", Worker.Record.Instance.Id},
                {"born", Incarnation},
@@ -95,9 +98,13 @@
   Worker.SupersededIncarnation = 0;
   Worker.HasReported = false;
   Worker.HasEnded = false;
+  // The first report shows which of the remaining runs the worker has.
   Worker.NextRenewalAt =
-      std::min(Worker.NextRenewalAt, Time.now() + UnresponsiveRenewalPeriod);
+      std::min(Worker.NextRenewalAt,
+               Time.now() + (Worker.Runs.empty() ? UnresponsiveRenewalPeriod
+                                                 : Duration::zero()));
   Worker.WasListed = false;
+  Worker.ListsWithoutHost = 0;
   Worker.OrphanedResources = {};
   Worker.LastSeenEnd = 0;
   Worker.LastEndInBatch = 0;
@@ -176,10 +183,19 @@
                                       : RunOutcome::Lost);
     }
   }
+  const bool IsRestarted = Incarnation != NoIncarnation;
   for (const auto &[Task, Outcome] : Outcomes) {
     RunState &Run = Worker.Runs.at(Task);
+    // Host lists tell that no incarnation has the run if they are from after
+    // the calls with its start.
+    if (Run.mayBeTakenLater() &&
+        (IsRestarted || Run.ListsWithoutHost < MinListsWithoutHost)) {
+      keepForNextIncarnation(Run, Outcome);
+      continue;
+    }
     logLostRun(Worker, Task, Run, Reason);
-    proposeEnd(Worker, Task, Run, Outcome, Run.Checkpoint);
+    proposeEnd(Worker, Task, Run, Run.OutcomeIfMissing.value_or(Outcome),
+               Run.Checkpoint);
   }
   if (IsCrash && !Outcomes.empty()) {
     Log.write(
@@ -191,13 +207,14 @@
   }
 }
 
-void Dispatcher::notePossibleCrashes(WorkerState &Worker) {
-  for (const auto &[Task, Run] : Worker.Runs) {
-    const RunOutcome Outcome = crashOutcome(Worker, Run);
-    if (jobs::isCrash(Outcome) && Run.Phase != RunPhase::Ending &&
-        Run.Phase != RunPhase::Proposed) {
-      Worker.PossibleCrashes.push_back({Task, Run.Number, Outcome});
-    }
+void Dispatcher::keepForNextIncarnation(RunState &Run, RunOutcome Outcome) {
+  Run.OutcomeIfMissing = Run.OutcomeIfMissing.value_or(Outcome);
+  Run.StopConfirmedAt.reset();
+  Run.HasSettled = false;
+  Run.Percent = 0;
+  Run.Pace.reset();
+  if (Run.Phase == RunPhase::Running && Run.UnansweredStarts > 0) {
+    Run.Phase = RunPhase::Uncertain;
   }
 }
 
@@ -222,6 +239,8 @@
        {"task", taskPath(Task)},
        {"worker", Worker.Record.Instance.Id},
        {"run", Run.Number},
+       {"born", Run.WorkerIncarnation},
+       {"start_attempts", Run.StartAttempts},
        {"ordered_before_last_report_ms", toMilliseconds(SeenFor)},
        {"report_age_ms", toMilliseconds(Time.now() - Worker.LastReportAt)},
        {"runs_on_worker", Worker.Runs.size()},
@@ -233,17 +252,26 @@
   for (auto &[Id, Worker] : Workers) {
     Worker.ListsWhileUnresponsive += Worker.IsUnresponsive ? 1 : 0;
     if (Ids.contains(Id)) {
-      Worker.ListsWithoutHost = 0;
+      if (std::exchange(Worker.ListsWithoutHost, 0) > 0) {
+        for (auto &[Task, Run] : Worker.Runs) {
+          Run.ListsWithoutHost = 0;
+        }
+      }
       Worker.WasListed = true;
       continue;
     }
-    // Lists may lag behind the start of a worker that has reported.
-    const bool IsListable =
-        Worker.WasListed || Now - Worker.IncarnationLearntAt > MaxHostListLag;
-    const bool MayBeGone =
-        !Worker.HasReported || (Worker.IsUnresponsive && IsListable);
-    if (MayBeGone && ++Worker.ListsWithoutHost >= MinListsWithoutHost) {
-      handleWorkerGone(Worker, std::numeric_limits<std::int64_t>::max(),
+    // Lists may lag behind the start of the incarnation.
+    const bool IsListable = Worker.WasListed ||
+                            Worker.IncarnationLearntAt == Instant() ||
+                            Now - Worker.IncarnationLearntAt > MaxHostListLag;
+    if (!IsListable || (Worker.HasReported && !Worker.IsUnresponsive)) {
+      continue;
+    }
+    for (auto &[Task, Run] : Worker.Runs) {
+      Run.ListsWithoutHost += Now >= Run.StartsSettledAt ? 1 : 0;
+    }
+    if (++Worker.ListsWithoutHost >= MinListsWithoutHost) {
+      handleWorkerGone(Worker, NoIncarnation,
                        "no host runs its worker any more");
       Worker.HasEnded = true;
     }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -30,6 +30,9 @@
   /// so that tasks of a lost worker restart elsewhere soon, but long enough for
   /// a change of the lease holder.
   Duration RunLease = std::chrono::seconds(4);
+  /// The longest lease that a worker grants. It grants this if the clock of an
+  /// earlier incarnation was far ahead of its own.
+  Duration MaxRunLease = std::chrono::seconds(10);
   /// How much slower a worker's clock may run, in percent.
   unsigned ClockSlackPercent = 3;
   /// How long an earlier lease holder may have renewed run leases while it
@@ -195,17 +198,18 @@
   /// Declares all runs on the worker lost.
   void endAllAsLost(WorkerState &Worker, std::string_view Reason);
   /// The worker process of all runs not on \p Incarnation has ended. If that
-  /// wasn't planned, the runs that it had just started may be the cause.
+  /// wasn't planned, the runs that it had just started may be the cause. Runs
+  /// that \p Incarnation may have are kept.
   void handleWorkerGone(WorkerState &Worker, std::int64_t Incarnation,
                         std::string_view Reason);
+  /// Keeps a run that the present incarnation of the worker may have. It ends
+  /// with \p Outcome if it isn't there.
+  static void keepForNextIncarnation(RunState &Run, jobs::RunOutcome Outcome);
   /// How the run ends if nothing more is known of it.
   static jobs::RunOutcome lostOutcome(const RunState &Run);
   /// How the run ends if its worker has crashed.
   static jobs::RunOutcome crashOutcome(const WorkerState &Worker,
                                        const RunState &Run);
-  /// Remembers the runs that may have crashed the worker, which can't be
-  /// reached, before they are declared lost.
-  static void notePossibleCrashes(WorkerState &Worker);
   /// The worker has crashed: records that for the remembered runs.
   void confirmPossibleCrashes(WorkerState &Worker);
   void logLostRun(const WorkerState &Worker, const TaskRef &Task,
@@ -242,10 +246,27 @@
   /// Sends the orders that are due to each worker.
   void sweepWorkers(Instant Now, bool MayRenew);
   void expireLeases(Instant Now);
+  /// Declares the runs lost whose leases have expired, and remembers those that
+  /// may have crashed the worker.
+  void expireRuns(WorkerState &Worker, Instant Now);
+  /// When the run has ended if the worker isn't heard of until then.
+  Instant runExpiry(const WorkerState &Worker, const RunState &Run) const;
+  /// The time that a lease may last if it was granted by the worker now.
+  Duration leaseBound(Duration Lease) const;
+  /// Whether a lease on the worker may have been asked for by the clock of an
+  /// earlier incarnation.
+  bool mayHoldEarlierLease(const WorkerState &Worker) const;
+  /// Makes the present incarnation refuse starts that were left unanswered by
+  /// earlier ones.
+  void refuseFormerStarts(WorkerState &Worker);
   void orderStops(WorkerState &Worker);
   void orderPaces(WorkerState &Worker, Instant Now);
   void adjustPace(WorkerState &Worker, Instant Now);
   void orderRenewal(WorkerState &Worker, Instant Now, bool MayRenew);
+  /// The number of the end up to which the worker may forget ends. It is 0 if
+  /// the worker may have restarted with a run that it has not reported: a new
+  /// incarnation counts its ends from 1 and would forget them.
+  static std::uint64_t acknowledgedEnd(WorkerState &Worker, Instant Now);
   void orderStart(WorkerState &Worker, const TaskRef &Task, RunState &Run);
   /// Sends a start order, also again if it got no reply. The journal must have
   /// the run as the current one of its task.
@@ -253,7 +274,7 @@
   /// It isn't known whether the worker has started the run or still will.
   void leaveStartUncertain(WorkerState &Worker, RunState &Run);
   /// Raises LeasesExpireAt for leases that are granted at \p Now.
-  void extendLeaseExpiry(WorkerState &Worker, Instant Now);
+  void extendLeaseExpiry(WorkerState &Worker, Instant Now) const;
   void forgetClosedJobs();
 
   /// Adds a new job to the mean work of its queue.
@@ -317,6 +338,8 @@
   bool isProposed(const TaskRef &Task) const {
     return ProposedTasks.contains(Task);
   }
+  /// The run of the task that is placed by the journal; 0 for none.
+  std::uint32_t currentRun(const TaskRef &Task) const;
   /// Whether the journal has the run as the current one of its task. It isn't
   /// if the task, its gang or its job has ended otherwise.
   bool isCurrentRun(const TaskRef &Task, std::uint32_t Run) const;
@@ -328,6 +351,8 @@
   std::shared_ptr<const Deployment> Config;
   FencingToken Token;
   Instant TermStart{};
+  // An earlier lease holder may have sent orders to workers.
+  bool HasPredecessor = false;
   bool Fenced = false;
   bool PlanNeeded = false;
   Instant NextSweepAt{};
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -38,6 +38,11 @@
 /// Any order counts as unanswered after this many times that delay.
 inline constexpr int ReplyTimeoutFactor = 2;
 inline constexpr Duration MinPatience = std::chrono::milliseconds(80);
+/// A call with an order ends after this many times the time allowed for its
+/// reply, since another entry may carry it.
+inline constexpr int DeliveryTimeFactor = 2;
+inline constexpr Duration MaxDeliveryTime =
+    DeliveryTimeFactor * MaxReplyTimeout;
 /// Delay before the next renewal after one without a reply.
 inline constexpr Duration UnresponsiveRenewalPeriod =
     std::chrono::milliseconds(250);
@@ -51,16 +56,24 @@
 struct RunState {
   std::uint32_t Number = 0;
   RunPhase Phase = RunPhase::Proposed;
-  /// Incarnation of the worker that the run was placed on.
+  /// Incarnation of the worker that the run was placed on. Orders name the
+  /// worker by its ID only, so a later incarnation may carry them out.
   std::int64_t WorkerIncarnation = 0;
+  /// Incarnation of the worker that has reported the run; 0 if none has.
+  std::int64_t ReportedBy = 0;
   Resources Claim;
   bool LongRunning = false;
   bool BestEffort = false;
   bool StopRequested = false;
   bool StopInFlight = false;
-  /// When the worker confirmed a stop. It refuses a start that arrives after
-  /// that.
+  /// When the last stop was ordered.
+  Instant StopOrderedAt{};
+  /// When the present incarnation of the worker confirmed a stop. It refuses a
+  /// start that arrives after that.
   std::optional<Instant> StopConfirmedAt;
+  /// How the run ends if the present incarnation of the worker turns out not to
+  /// have it; set if an earlier one has ended meanwhile.
+  std::optional<jobs::RunOutcome> OutcomeIfMissing;
   /// Started under a lower fencing token, so the worker refuses a start that
   /// arrives late.
   bool FromEarlierTerm = false;
@@ -69,6 +82,12 @@
   /// Start orders sent. An earlier one without a reply may still be carried
   /// out when a later one is refused.
   unsigned StartAttempts = 0;
+  /// Start orders without a reply. Each may still be carried out.
+  unsigned UnansweredStarts = 0;
+  /// When the calls with its start orders have ended, and consecutive host
+  /// lists since then without a host for the worker.
+  Instant StartsSettledAt{};
+  unsigned ListsWithoutHost = 0;
   /// When the run was first known to be running.
   Instant StartedAt{};
   /// The worker has replied at least SettlingTime after the start.
@@ -91,6 +110,21 @@
   /// unset while unknown.
   std::optional<unsigned> Pace = 100;
   bool PaceInFlight = false;
+
+  /// Whether an incarnation of the worker that has not reported the run may
+  /// have started it, or may start it yet.
+  bool mayBeTakenLater() const {
+    return Phase != RunPhase::Proposed && Phase != RunPhase::Ending &&
+           (ReportedBy == 0 || UnansweredStarts > 0);
+  }
+};
+
+/// A run that has ended, some of whose start orders got no reply.
+struct FormerStart {
+  TaskRef Task;
+  std::uint32_t Run = 0;
+  /// When the calls with these orders had ended.
+  Instant SettledAt{};
 };
 
 /// Whether the worker is kept free of new work for its host.
@@ -136,6 +170,8 @@
   Instant UnresponsiveSince{};
   /// When the incarnation was learnt in this term.
   Instant IncarnationLearntAt{};
+  /// An earlier incarnation was known in this term.
+  bool HasRestarted = false;
   /// The incarnation before, if its number is higher: the clock of the host was
   /// set back since. Its registration and replies may still arrive. 0 for none.
   std::int64_t SupersededIncarnation = 0;
@@ -172,10 +208,13 @@
   bool WasListed = false;
   /// Local time when Clock was received.
   Instant ClockReceivedAt{};
-  /// The time when all leases granted so far have expired.
+  /// The time when all leases granted so far have expired on the incarnation
+  /// that they were meant for.
   Instant LeasesExpireAt{};
   /// Highest sequence number of an end that was processed.
   std::uint64_t LastSeenEnd = 0;
+  /// The last renewal acknowledged no ends, as the worker may have restarted.
+  bool IsAckWithheld = false;
   /// Value of LastSeenEnd when the events that are being recorded were taken.
   std::uint64_t LastEndInBatch = 0;
   /// Highest sequence number of an end that is recorded.
@@ -198,6 +237,8 @@
   std::map<TaskRef, RunState> Runs;
   /// Runs that were declared lost while the worker couldn't be reached.
   std::vector<PossibleCrash> PossibleCrashes;
+  /// Starts that a later incarnation must refuse.
+  std::vector<FormerStart> FormerStarts;
   // Invariant: the sum of the claims of all Runs that are not in phase Ending.
   Resources ClaimedResources;
   /// Resources of the runs in the last report that are not among Runs. They are
