--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -257,6 +257,7 @@
   Sim.LosesAnswer = nullptr;
   Sim.run(70s);
   BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
 }
 
