--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -69,6 +69,17 @@
   return Sim.violations().empty();
 }
 
+/// Cuts off the worker that has the only run of the job, and checks that the
+/// task runs elsewhere, but not before the run has ended.
+void checkCutOffRunIsFollowed(RestartSimulation &Sim, const std::string &Job) {
+  Sim.cutOff(Sim.workerOfRun());
+  Sim.run(6s);
+  BOOST_TEST(holds(Sim));
+  Sim.run(9s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts(Job) == 2);
+}
+
 } // namespace
 
 // A start that a restarted worker had carried out counted as lost once the
@@ -147,12 +158,7 @@
   Sim.startOnRestartedWorker("a", longRunningJob(1));
   Sim.registerAll();
   Sim.run(1s);
-  Sim.cutOff(Sim.workerOfRun());
-  Sim.run(6s);
-  BOOST_TEST(holds(Sim));
-  Sim.run(9s);
-  BOOST_TEST(holds(Sim));
-  BOOST_TEST(Sim.countStarts("a") == 2);
+  checkCutOffRunIsFollowed(Sim, "a");
 }
 
 // The same, where the worker was cut off before it had reported, so that the
@@ -160,12 +166,7 @@
 BOOST_AUTO_TEST_CASE(ALeaseByAFormerClockIsWaitedForIfTheRestartIsNotKnown) {
   RestartSimulation Sim(2);
   Sim.startOnRestartedWorker("a", longRunningJob(1));
-  Sim.cutOff(Sim.workerOfRun());
-  Sim.run(6s);
-  BOOST_TEST(holds(Sim));
-  Sim.run(9s);
-  BOOST_TEST(holds(Sim));
-  BOOST_TEST(Sim.countStarts("a") == 2);
+  checkCutOffRunIsFollowed(Sim, "a");
 }
 
 // The same, where a renewal for the former incarnation lengthened the leases of
@@ -197,12 +198,7 @@
   Sim.startNewTerm();
   Sim.run(500ms);
   BOOST_REQUIRE(Sim.countStarts("a") == 1);
-  Sim.cutOff(Sim.workerOfRun());
-  Sim.run(6s);
-  BOOST_TEST(holds(Sim));
-  Sim.run(9s);
-  BOOST_TEST(holds(Sim));
-  BOOST_TEST(Sim.countStarts("a") == 2);
+  checkCutOffRunIsFollowed(Sim, "a");
 }
 
 // A start on its way counted as lost once host lists had shown its worker as
