dispatch: A late renewal by a former clock is waited for

A task ran twice at the same time for some 0.3 s: its worker had been started again unnoticed, took the start, got a renewal up to a second later, and was cut off before it had reported. A lease by the former incarnation's clock is granted at its longest, and a renewal grants it anew; the leader counted from the start of the run only, and not from other orders to that worker that lengthen its leases: the renewal, and starts of other runs.

The test fails before (a.0.0.0 has overlapping runs). A renewal that is carried out after its call has ended is not covered: that takes an unnoticed restart, an order that the worker holds back for seconds, and a cut before its first report; a wait for it would delay each task of a cut-off worker by as much.

--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -122,10 +122,16 @@
 
 Instant Dispatcher::runExpiry(const WorkerState &Worker,
                               const RunState &Run) const {
-  return Run.mayBeTakenLater()
-             ? std::max(Worker.LeasesExpireAt,
-                        Run.StartsSettledAt + leaseBound(Settings.MaxRunLease))
-             : Worker.LeasesExpireAt;
+  if (!Run.mayBeTakenLater()) {
+    return Worker.LeasesExpireAt;
+  }
+  // An incarnation that was started after the last report may have the run.
+  const Instant OrdersSettledAt =
+      Run.StartsSettledAt > Worker.LastReportAt
+          ? std::max(Run.StartsSettledAt, Worker.LeaseOrdersSettledAt)
+          : Run.StartsSettledAt;
+  return std::max(Worker.LeasesExpireAt,
+                  OrdersSettledAt + leaseBound(Settings.MaxRunLease));
 }
 
 bool Dispatcher::mayHoldEarlierLease(const WorkerState &Worker) const {
@@ -206,6 +212,11 @@
   return Worker.IsAckWithheld ? 0 : Worker.LastRecordedEnd;
 }
 
+void Dispatcher::noteLeaseOrder(WorkerState &Worker, Instant SettledAt) {
+  Worker.LeaseOrdersSettledAt =
+      std::max(Worker.LeaseOrdersSettledAt, SettledAt);
+}
+
 void Dispatcher::orderRenewal(WorkerState &Worker, Instant Now, bool MayRenew) {
   if (Worker.RenewalInFlight || Now < Worker.NextRenewalAt ||
       Worker.Record.Address.Ip.empty() ||
@@ -244,6 +255,8 @@
         Worker.clockAt(Now) +
         std::chrono::duration_cast<WorkerClock>(Settings.RunLease);
     extendLeaseExpiry(Worker, Now);
+    noteLeaseOrder(Worker, Now + Order.Wait +
+                               DeliveryTimeFactor * Order.Worker.ReplyTimeout);
   }
   Worker.RenewalInFlight = true;
   Worker.RenewalWait = Order.Wait;
@@ -278,6 +291,7 @@
   ++Run.StartAttempts;
   ++Run.UnansweredStarts;
   Run.StartsSettledAt = Now + DeliveryTimeFactor * Order.Worker.ReplyTimeout;
+  noteLeaseOrder(Worker, Run.StartsSettledAt);
   Order.Token = Token;
   Order.Task = Task;
   Order.Run = Run.Number;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -259,6 +259,8 @@
   /// Makes the present incarnation refuse starts that were left unanswered by
   /// earlier ones.
   void refuseFormerStarts(WorkerState &Worker);
+  /// Raises LeaseOrdersSettledAt for an order that lengthens leases.
+  static void noteLeaseOrder(WorkerState &Worker, Instant SettledAt);
   void orderStops(WorkerState &Worker);
   void orderPaces(WorkerState &Worker, Instant Now);
   void adjustPace(WorkerState &Worker, Instant Now);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -211,6 +211,9 @@
   /// The time when all leases granted so far have expired on the incarnation
   /// that they were meant for.
   Instant LeasesExpireAt{};
+  /// When the calls with orders that lengthen leases have ended. An order
+  /// lengthens the leases of all runs on the incarnation that it reaches.
+  Instant LeaseOrdersSettledAt{};
   /// Highest sequence number of an end that was processed.
   std::uint64_t LastSeenEnd = 0;
   /// The last renewal acknowledged no ends, as the worker may have restarted.
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -189,6 +189,30 @@
   BOOST_TEST(Sim.countStarts("a") == 3);
 }
 
+// A renewal for the former incarnation reached the next one late, and its
+// leases lasted longer than those of the start were waited for.
+BOOST_AUTO_TEST_CASE(ALateRenewalByAFormerClockIsWaitedFor) {
+  RestartSimulation Sim(2);
+  Sim.HasLongPolls = true;
+  bool IsHeld = false;
+  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+    const auto *Renewal = std::get_if<RenewOrder>(&Order);
+    if (IsHeld || Renewal == nullptr || !Renewal->LeaseUntil) {
+      return std::nullopt;
+    }
+    IsHeld = true;
+    return 950ms;
+  };
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.LosesAnswer =
+      [Id = Sim.workerOfRun().Record.Instance.Id](const WorkerOrder &Order) {
+        return workerOf(Order).WorkerId == Id;
+      };
+  Sim.run(1s);
+  BOOST_REQUIRE(IsHeld);
+  checkCutOffRunIsFollowed(Sim, "a");
+}
+
 // The same, where the leader changed after the restart was known.
 BOOST_AUTO_TEST_CASE(ALaterLeaderWaitsForALeaseByAFormerClock) {
   RestartSimulation Sim(2);
