dispatch: A run that is kept for the next incarnation has a line

On call, lines told that a run was lost with its worker, but not that it was kept since a later incarnation may have it: a task that waited for up to 10 s had no line between run-ordered and run-ended. run-kept tells the task, the run, the incarnation that it was ordered on, and how many starts are unanswered. Failed before: no such line.

--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -191,6 +191,14 @@
     if (Run.mayBeTakenLater() &&
         (IsRestarted || Run.ListsWithoutHost < MinListsWithoutHost)) {
       keepForNextIncarnation(Run, Outcome);
+      Log.write(LogLevel::Info, "run-kept",
+                {{"job", Task.Job.Text},
+                 {"task", taskPath(Task)},
+                 {"worker", Worker.Record.Instance.Id},
+                 {"run", Run.Number},
+                 {"born", Run.WorkerIncarnation},
+                 {"unanswered_starts", Run.UnansweredStarts},
+                 {"why", "a later incarnation of its worker may have it"}});
       continue;
     }
     logLostRun(Worker, Task, Run, Reason);
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -100,7 +100,22 @@
   }
 }
 
-// The same, where the reply to the start got lost.
+// No line told that a run had been kept for the next incarnation, only that it
+// had ended.
+BOOST_AUTO_TEST_CASE(ARunThatIsKeptHasALine) {
+  RestartSimulation Sim(2);
+  Sim.Log.KeptReason = "run-kept";
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.registerAll();
+  Sim.run(5s);
+  BOOST_REQUIRE(Sim.Log.Kept.size() == 1);
+  BOOST_TEST(Sim.Log.Kept.front().at("job").as_string() == "a");
+  BOOST_TEST(Sim.Log.Kept.front().at("born").as_int64() <
+             Sim.workerOfRun().Record.Instance.Incarnation);
+}
+
+// A start that a restarted worker had carried out counted as lost although its
+// reply had been lost.
 BOOST_AUTO_TEST_CASE(AnUnansweredStartOnARestartedWorkerIsNotCountedAsLost) {
   RestartSimulation Sim(2);
   Sim.LosesAnswer = [](const WorkerOrder &Order) {
