--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -100,7 +100,22 @@
   }
 }
 
-// The same, where the reply to the start got lost.
+// No line told that a run had been kept for the next incarnation, only that it
+// had ended.
+BOOST_AUTO_TEST_CASE(ARunThatIsKeptHasALine) {
+  RestartSimulation Sim(2);
+  Sim.Log.KeptReason = "run-kept";
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.registerAll();
+  Sim.run(5s);
+  BOOST_REQUIRE(Sim.Log.Kept.size() == 1);
+  BOOST_TEST(Sim.Log.Kept.front().at("job").as_string() == "a");
+  BOOST_TEST(Sim.Log.Kept.front().at("born").as_int64() <
+             Sim.workerOfRun().Record.Instance.Incarnation);
+}
+
+// A start that a restarted worker had carried out counted as lost although its
+// reply had been lost.
 BOOST_AUTO_TEST_CASE(AnUnansweredStartOnARestartedWorkerIsNotCountedAsLost) {
   RestartSimulation Sim(2);
   Sim.LosesAnswer = [](const WorkerOrder &Order) {
@@ -189,6 +204,30 @@
   BOOST_TEST(Sim.countStarts("a") == 3);
 }
 
+// A renewal for the former incarnation reached the next one late, and its
+// leases lasted longer than those of the start were waited for.
+BOOST_AUTO_TEST_CASE(ALateRenewalByAFormerClockIsWaitedFor) {
+  RestartSimulation Sim(2);
+  Sim.HasLongPolls = true;
+  bool IsHeld = false;
+  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+    const auto *Renewal = std::get_if<RenewOrder>(&Order);
+    if (IsHeld || Renewal == nullptr || !Renewal->LeaseUntil) {
+      return std::nullopt;
+    }
+    IsHeld = true;
+    return 950ms;
+  };
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.LosesAnswer =
+      [Id = Sim.workerOfRun().Record.Instance.Id](const WorkerOrder &Order) {
+        return workerOf(Order).WorkerId == Id;
+      };
+  Sim.run(1s);
+  BOOST_REQUIRE(IsHeld);
+  checkCutOffRunIsFollowed(Sim, "a");
+}
+
 // The same, where the leader changed after the restart was known.
 BOOST_AUTO_TEST_CASE(ALaterLeaderWaitsForALeaseByAFormerClock) {
   RestartSimulation Sim(2);
