dispatch: Idle pools share their hosts when long-running tasks need them all

Cause: hosts are shared by what the pools desire once each has what its long-running tasks need. If those alone needed as many hosts as there are, nothing was shared at all, and an idle pool kept its minimum of two.

Now each pool gets one host then, and the others go by the needs of long-running tasks. An idle pool keeps its last host: hosts that take long-running tasks don't come back when work for the pool arrives. With fewer hosts than pools, those with work come first.

SharedHostsStayWhereTheyAre passed before, too; it guards against moves to and fro.

What it doesn't do: fewer jobs that never end.

--- a/Source/Dispatch/PoolPlanner.cpp
+++ b/Source/Dispatch/PoolPlanner.cpp
@@ -91,51 +91,48 @@
   }
 }
 
-/// Hosts that the pool keeps when the hosts are shared.
-unsigned reservedHosts(const PoolPlanner::Balance &Pool, unsigned MinHosts) {
-  return std::min(Pool.DesiredHosts, std::max(MinHosts, Pool.FixedHosts));
+using Balances = PoolPlanner::Balances;
+using HostCountOf = std::function<unsigned(const PoolPlanner::Balance &)>;
+
+/// What the pool desires, up to a number of hosts.
+HostCountOf atMost(unsigned HostCount) {
+  return [HostCount](const PoolPlanner::Balance &Pool) {
+    return std::min(Pool.DesiredHosts, HostCount);
+  };
+}
+
+/// What its long-running tasks need, and no less than the minimum.
+HostCountOf fixedHostsOrAtLeast(unsigned MinHosts) {
+  return [MinHosts](const PoolPlanner::Balance &Pool) {
+    return std::min(Pool.DesiredHosts, std::max(MinHosts, Pool.FixedHosts));
+  };
 }
 
-std::uint64_t sumOfReservedHosts(const PoolPlanner::Balances &PoolBalances,
-                                 unsigned MinHosts) {
+std::uint64_t sumOf(const Balances &PoolBalances, const HostCountOf &CountFor) {
   std::uint64_t Sum = 0;
   for (const auto &[Name, Pool] : PoolBalances) {
-    Sum += reservedHosts(Pool, MinHosts);
+    Sum += CountFor(Pool);
   }
   return Sum;
 }
 
-/// Shares the hosts in proportion to what the pools desire if they desire more
-/// than there are. Without it, a pool whose demand came first keeps its hosts
-/// while work for later ones piles up.
-void limitToFairShares(PoolPlanner::Balances &PoolBalances, unsigned MinHosts) {
-  std::uint64_t Available = 0;
-  std::uint64_t Desired = 0;
-  for (const auto &[Name, Pool] : PoolBalances) {
-    Available += Pool.HostCount;
-    Desired += Pool.DesiredHosts;
-  }
-  if (Desired <= Available) {
-    return;
-  }
-  if (sumOfReservedHosts(PoolBalances, MinHosts) >= Available) {
-    MinHosts = 0; // pools may be without a host
-  }
-  const std::uint64_t Reserved = sumOfReservedHosts(PoolBalances, MinHosts);
-  if (Reserved >= Available) {
-    return;
-  }
-  std::uint64_t Left = Available - Reserved;
+/// Gives each pool its floor, and shares the other hosts in proportion to what
+/// the pools lack up to their limits. There are enough hosts for the floors,
+/// but not for the limits.
+void shareHosts(Balances &PoolBalances, std::uint64_t Available,
+                const HostCountOf &FloorOf, const HostCountOf &LimitOf) {
+  const std::uint64_t Spare = Available - sumOf(PoolBalances, FloorOf);
+  const std::uint64_t Lacking =
+      sumOf(PoolBalances, LimitOf) - sumOf(PoolBalances, FloorOf);
+  std::uint64_t Left = Spare;
   // Pools by what rounding takes from their share.
   std::multimap<std::uint64_t, PoolPlanner::Balance *, std::greater<>> ByRest;
   for (auto &[Name, Pool] : PoolBalances) {
-    const std::uint64_t Floor = reservedHosts(Pool, MinHosts);
-    const std::uint64_t Share =
-        (Pool.DesiredHosts - Floor) * (Available - Reserved);
-    const std::uint64_t Whole = Share / (Desired - Reserved);
-    ByRest.emplace(Share % (Desired - Reserved), &Pool);
-    Pool.DesiredHosts = static_cast<unsigned>(Floor + Whole);
-    Left -= Whole;
+    const std::uint64_t Floor = FloorOf(Pool);
+    const std::uint64_t Share = (LimitOf(Pool) - Floor) * Spare;
+    ByRest.emplace(Share % Lacking, &Pool);
+    Pool.DesiredHosts = static_cast<unsigned>(Floor + Share / Lacking);
+    Left -= Share / Lacking;
   }
   for (const auto &[Rest, Pool] : ByRest) {
     if (Left == 0 || Rest == 0) {
@@ -146,6 +143,43 @@
   }
 }
 
+/// Fewer hosts than pools: those with work come first.
+void shareAmongPoolsWithWork(Balances &PoolBalances, std::uint64_t Available) {
+  const HostCountOf OneForWork = [](const PoolPlanner::Balance &Pool) {
+    return Pool.HasWork ? std::min(Pool.DesiredHosts, 1U) : 0U;
+  };
+  if (sumOf(PoolBalances, OneForWork) <= Available) {
+    shareHosts(PoolBalances, Available, OneForWork, atMost(1));
+  } else {
+    shareHosts(PoolBalances, Available, atMost(0), OneForWork);
+  }
+}
+
+/// Shares the hosts if the pools desire more than there are. Without it, a pool
+/// whose demand came first keeps its hosts while work for later ones piles up.
+/// A pool keeps a host if there are enough for all, even beside long-running
+/// tasks that lack one: a host that takes those doesn't come back when work for
+/// the pool arrives.
+void limitToFairShares(Balances &PoolBalances, unsigned MinHosts) {
+  const HostCountOf AllDesired = atMost(std::numeric_limits<unsigned>::max());
+  const HostCountOf FixedOrOne = fixedHostsOrAtLeast(1);
+  const std::uint64_t Available =
+      sumOf(PoolBalances, [](const auto &Pool) { return Pool.HostCount; });
+  if (sumOf(PoolBalances, AllDesired) <= Available) {
+    return;
+  }
+  if (sumOf(PoolBalances, fixedHostsOrAtLeast(MinHosts)) < Available) {
+    shareHosts(PoolBalances, Available, fixedHostsOrAtLeast(MinHosts),
+               AllDesired);
+  } else if (sumOf(PoolBalances, FixedOrOne) <= Available) {
+    shareHosts(PoolBalances, Available, FixedOrOne, AllDesired);
+  } else if (sumOf(PoolBalances, atMost(1)) <= Available) {
+    shareHosts(PoolBalances, Available, atMost(1), FixedOrOne);
+  } else {
+    shareAmongPoolsWithWork(PoolBalances, Available);
+  }
+}
+
 Resources meanCapacity(const std::vector<PoolHost> &Hosts) {
   Resources Sum;
   for (const PoolHost &Host : Hosts) {
@@ -160,9 +194,9 @@
 
 void PoolPlanner::reset() { HistoryByPool.clear(); }
 
-unsigned PoolPlanner::desiredHosts(Instant Now, const PoolName &Pool,
-                                   const PoolDemand &Demand,
-                                   const Resources &HostCapacity) {
+unsigned PoolPlanner::neededHosts(Instant Now, const PoolName &Pool,
+                                  const PoolDemand &Demand,
+                                  const Resources &HostCapacity) {
   const auto WithHeadroom = [this](std::int64_t Amount) {
     return Amount * (100 + Settings.HeadroomPercent) / 100;
   };
@@ -171,8 +205,10 @@
                            HostCapacity.CpuMilli),
                hostsNeeded(WithHeadroom(Demand.BatchResources.MemoryMb),
                            HostCapacity.MemoryMb));
-  const unsigned MinHosts = std::max(
-      {Demand.LongRunningHosts, Demand.HostsForUnplaced, Settings.MinHosts});
+  // Tasks that claim nothing need a host all the same.
+  const unsigned MinHosts =
+      std::max({Demand.LongRunningHosts, Demand.HostsForUnplaced,
+                Demand == PoolDemand() ? 0U : 1U});
   std::map<Instant, unsigned> &RecentDemand = HistoryByPool[Pool].RecentDemand;
   RecentDemand.erase(RecentDemand.begin(), RecentDemand.lower_bound(Now));
   RecentDemand[Now + Settings.DemandWindow] = std::max(BatchHosts, MinHosts);
@@ -199,8 +235,10 @@
     const auto It = Demand.find(PoolEntry.Name);
     const PoolDemand NoDemand;
     const PoolDemand &OwnDemand = It == Demand.end() ? NoDemand : It->second;
-    PoolBalance.DesiredHosts =
-        desiredHosts(Now, PoolEntry.Name, OwnDemand, HostCapacity);
+    const unsigned NeededHosts =
+        neededHosts(Now, PoolEntry.Name, OwnDemand, HostCapacity);
+    PoolBalance.HasWork = NeededHosts > 0;
+    PoolBalance.DesiredHosts = std::max(NeededHosts, Settings.MinHosts);
     PoolBalance.FixedHosts = OwnDemand.LongRunningHosts;
   }
   for (const PoolHost &Host : Hosts) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/PoolPlanner.h
@@ -71,8 +71,10 @@
   struct Balance {
     unsigned HostCount = 0;
     unsigned DesiredHosts = 0;
-    /// Hosts that can't leave because of long-running tasks.
+    /// Hosts needed for long-running tasks.
     unsigned FixedHosts = 0;
+    /// There were tasks that run or could run, within DemandWindow.
+    bool HasWork = false;
     bool Standby = false;
 
     bool isMoreUndersizedThan(const Balance &Other) const {
@@ -102,10 +104,9 @@
   void releaseSurplus(Instant Now, const PoolName &StandbyPool,
                       Balances &PoolBalances,
                       const std::vector<PoolHost> &Hosts, PoolPlan &Plan);
-  /// Peak of the demand within DemandWindow, in hosts.
-  unsigned desiredHosts(Instant Now, const PoolName &Pool,
-                        const PoolDemand &Demand,
-                        const Resources &HostCapacity);
+  /// Peak of the demand within DemandWindow, in hosts; 0 without work.
+  unsigned neededHosts(Instant Now, const PoolName &Pool,
+                       const PoolDemand &Demand, const Resources &HostCapacity);
 
   const PoolPlannerOptions Settings;
   std::map<PoolName, PoolHistory> HistoryByPool;
--- a/Tests/Dispatch/FleetHistoryTest.cpp
+++ b/Tests/Dispatch/FleetHistoryTest.cpp
@@ -17,9 +17,14 @@
 constexpr std::uint64_t FirstSeed = 1;
 constexpr std::uint64_t HistoryCount = 50;
 
+/// Histories in which an idle pool kept two hosts while jobs of a pool with one
+/// waited for ever, as long-running tasks alone needed more than there are.
+constexpr std::uint64_t IdlePoolSeeds[] = {299, 5084};
+
 struct Selection {
   std::uint64_t Seed = FirstSeed;
   std::uint64_t Count = HistoryCount;
+  bool IsGiven = false;
 };
 
 Selection parseSelection() {
@@ -28,6 +33,7 @@
   for (int Index = 1; Index + 1 < Suite.argc; Index += 2) {
     const std::string_view Name = Suite.argv[Index];
     const std::string Value = Suite.argv[Index + 1];
+    Selected.IsGiven = true;
     if (Name == "--seed") {
       Selected.Seed = std::stoull(Value);
       Selected.Count = 1;
@@ -41,16 +47,21 @@
   return Selected;
 }
 
-/// Runs the selected histories and reports one kind of their violations.
+/// Runs a history and reports one kind of its violations.
+void runHistory(std::uint64_t Seed, bool Prints,
+                std::vector<std::string> FleetSimulation::*Kind) {
+  FleetHistory History(Seed, Prints);
+  History.run();
+  for (const std::string &Violation : History.Fleet.*Kind) {
+    BOOST_ERROR("seed " << Seed << ": " << Violation);
+  }
+}
+
 void runHistories(std::vector<std::string> FleetSimulation::*Kind) {
   const Selection Selected = parseSelection();
   for (std::uint64_t Seed = Selected.Seed;
        Seed < Selected.Seed + Selected.Count; ++Seed) {
-    FleetHistory History(Seed, Selected.Count == 1);
-    History.run();
-    for (const std::string &Violation : History.Fleet.*Kind) {
-      BOOST_ERROR("seed " << Seed << ": " << Violation);
-    }
+    runHistory(Seed, Selected.Count == 1, Kind);
   }
 }
 
@@ -63,3 +74,13 @@
 BOOST_AUTO_TEST_CASE(JobsEndAndFailOnlyWithCause) {
   runHistories(&FleetSimulation::JobViolations);
 }
+
+// An idle pool kept more hosts than one whose jobs were never done.
+BOOST_AUTO_TEST_CASE(IdlePoolsKeepNoMoreHostsThanPoolsThatLackThem) {
+  if (!parseSelection().IsGiven) {
+    for (const std::uint64_t Seed : IdlePoolSeeds) {
+      runHistory(Seed, false, &FleetSimulation::JobViolations);
+      runHistory(Seed, false, &FleetSimulation::Violations);
+    }
+  }
+}
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -663,6 +663,99 @@
   BOOST_TEST(!Plan.Moves.empty());
 }
 
+namespace {
+
+/// An idle pool beside two pools whose long-running tasks need more hosts than
+/// there are.
+struct ShortFleetFixture {
+  ShortFleetFixture() {
+    Demand[Long].LongRunningHosts = 3;
+    Demand[Other].LongRunningHosts = 3;
+    Demand[Other].BatchResources = {30000, 1000, 0};
+    addHosts(Long, 2, true);
+    addHosts(Other, 1, true);
+    addHosts(Idle, 2, false);
+  }
+
+  void addHosts(const PoolName &Pool, unsigned Count, bool HasLongRunning) {
+    for (PoolHost &Host : vacantHosts(Count, Pool)) {
+      Host.HasLongRunningTask = HasLongRunning;
+      Host.IsVacant = !HasLongRunning;
+      Hosts.push_back(Host);
+    }
+  }
+
+  PoolPlan plan(Instant Now) {
+    return Planner.plan(Now, {{Idle}, {Long}, {Other}}, Demand, Hosts);
+  }
+
+  /// The moves are carried out, and long-running tasks take the hosts.
+  void apply(const PoolPlan &Plan) {
+    for (const PoolPlan::HostMove &Move : Plan.Moves) {
+      for (PoolHost &Host : Hosts) {
+        if (Host.Name == Move.Host) {
+          Host.Pool = Move.TargetPool;
+          Host.HasLongRunningTask = true;
+          Host.IsVacant = false;
+        }
+      }
+    }
+  }
+
+  const PoolName Idle = PoolName("idle");
+  const PoolName Long = PoolName("long");
+  const PoolName Other = PoolName("other");
+  PoolPlanner Planner{PoolPlannerOptions()};
+  std::map<PoolName, PoolDemand> Demand;
+  std::vector<PoolHost> Hosts;
+};
+
+} // namespace
+
+// Nothing was shared if the long-running tasks alone needed all hosts, so an
+// idle pool kept two while work elsewhere was never done.
+BOOST_AUTO_TEST_CASE(AnIdlePoolKeepsOneHostIfLongRunningTasksNeedThemAll) {
+  ShortFleetFixture Fleet;
+  const PoolPlan Plan = Fleet.plan(Instant(1s));
+  BOOST_REQUIRE(Plan.Moves.size() == 1);
+  BOOST_TEST(Plan.Moves.front().TargetPool.Text == Fleet.Other.Text);
+  BOOST_TEST(Plan.Drains.empty());
+}
+
+// A host that moves there and back again runs nothing for two moves.
+BOOST_AUTO_TEST_CASE(SharedHostsStayWhereTheyAre) {
+  ShortFleetFixture Fleet;
+  Fleet.apply(Fleet.plan(Instant(1s)));
+  for (Instant Now(2s); Now < Instant(12s); Now += 500ms) {
+    Fleet.Demand[Fleet.Idle].BatchResources = {Now < Instant(7s) ? 0 : 30000,
+                                               100, 0};
+    const PoolPlan Plan = Fleet.plan(Now);
+    BOOST_TEST(Plan.Moves.empty());
+    BOOST_TEST(Plan.Drains.empty());
+  }
+}
+
+// The last host of an idle pool took long-running tasks of another one, and no
+// host could come back when work for the pool arrived.
+BOOST_AUTO_TEST_CASE(AnIdlePoolKeepsAHostThatWouldNotComeBack) {
+  ShortFleetFixture Fleet;
+  Fleet.Demand[Fleet.Long].LongRunningHosts = 2;
+  Fleet.Demand[Fleet.Other].LongRunningHosts = 2;
+  BOOST_TEST(Fleet.plan(Instant(1s)).Moves.size() == 1);
+}
+
+// With fewer hosts than pools an idle pool kept the host that another one
+// needed.
+BOOST_AUTO_TEST_CASE(AnIdlePoolGivesUpItsOnlyHostToAPoolWithout) {
+  ShortFleetFixture Fleet;
+  Fleet.Hosts = vacantHosts(1, Fleet.Idle);
+  Fleet.Demand.erase(Fleet.Long);
+  Fleet.Demand[Fleet.Other] = {{500, 100, 0}, 0};
+  const PoolPlan Plan = Fleet.plan(Instant(1s));
+  BOOST_REQUIRE(Plan.Moves.size() == 1);
+  BOOST_TEST(Plan.Moves.front().TargetPool.Text == Fleet.Other.Text);
+}
+
 // A host stayed in standby while pools that had to share lacked it.
 BOOST_AUTO_TEST_CASE(NoHostIsLeftOverWhenPoolsShare) {
   PoolPlanner Planner{PoolPlannerOptions()};
