dispatch: A host whose maintenance is confirmed late doesn't stay cordoned

Callers saw batch jobs wait for ever beside a vacant worker of their own pool, for the rest of a leader's term.

Cause: if a wave's order for a host got no reply and the host's worker crashed, the host may drain for the wave again. When a host list then shows its maintenance, the host was noted as done, but its drain was only ended if the order still named a worker; the crash had cleared that. The host kept Cordon::DrainingForMaintenance and didn't count for its pool. Now a host that is done never drains; the same for hosts that an earlier leader has finished.

Failed before: AHostThatIsDoneDoesNotDrainAnyMore, the cordon is not None.

--- a/Source/Dispatch/HostOrders.cpp
+++ b/Source/Dispatch/HostOrders.cpp
@@ -134,6 +134,8 @@
       Log.write(LogLevel::Info, "host-order-confirmed",
                 {{"host", Name.Text}, {"wave", ActiveWave.Request.Number}});
       ActiveWave.DoneHosts.insert(Name);
+      // It may drain again since a crash.
+      ActiveWave.DrainingSince.erase(Name);
     }
     OrderIt = HasBegun || Host == nullptr
                   ? ActiveWave.UnconfirmedOrders.erase(OrderIt)
@@ -160,6 +162,7 @@
     for (const HostName &Name : Names) {
       WaveIt->second.DoneHosts.insert(Name);
       WaveIt->second.UnconfirmedOrders.erase(Name);
+      WaveIt->second.DrainingSince.erase(Name);
     }
   }
 }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -121,7 +121,8 @@
     std::set<HostName> DoneHosts;
     // Disjoint from DoneHosts.
     std::map<HostName, UnconfirmedOrder> UnconfirmedOrders;
-    // Draining hosts, and the start of their drain.
+    // Draining hosts, and the start of their drain. Disjoint from DoneHosts: a
+    // host that drains is no capacity of its pool.
     std::map<HostName, Instant> DrainingSince;
     // Drains that were given up, by host.
     std::map<HostName, unsigned> FailedDrains;
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -428,6 +428,35 @@
   BOOST_TEST(Fleet.Completed);
 }
 
+// A host that drained again before its late order was carried out stayed
+// cordoned for the rest of the term, and idle.
+BOOST_AUTO_TEST_CASE(AHostThatIsDoneDoesNotDrainAnyMore) {
+  FleetFixture Fleet(1);
+  Fleet.publishHosts();
+  Fleet.Scheduler.addWave(waveOf(Fleet.Hosts, 1));
+  const std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  Fleet.Scheduler.handleReply(Orders.front(), false);
+  Fleet.crashWorker(0);
+  Fleet.Sim.run(2s);
+  Fleet.Sim.Workers[0].RunDuration = 5s;
+  Fleet.restartWorker(0);
+  Fleet.Sim.submit("a", simpleJob(1));
+  Fleet.Sim.run(1s);
+  BOOST_REQUIRE(Fleet.decide().empty()); // the host drains
+  const WorkerState &Worker =
+      Fleet.Sim.JobDispatcher->workers().at(Orders.front().WorkerId);
+  BOOST_REQUIRE((Worker.HostCordon == Cordon::DrainingForMaintenance));
+  Fleet.crashWorker(0);
+  Fleet.Hosts[0].Status = HostStatus::Maintenance;
+  Fleet.publishHosts();
+  Fleet.Sim.run(2s);
+  Fleet.restartWorker(0);
+  Fleet.decide();
+  BOOST_TEST(Fleet.Completed);
+  BOOST_TEST((Worker.HostCordon == Cordon::None));
+}
+
 BOOST_AUTO_TEST_CASE(MaintenanceForAnotherWaveIsNoProof) {
   FleetFixture Fleet(1);
   Fleet.publishHosts();
