dispatch: A former start is refused until the worker has confirmed it

A completed task ran again, or a task ran twice at the same time, when a worker that had started again carried out a start that was meant for its former incarnation and had been left unanswered.

The new incarnation was told once, at its first report, to refuse such starts. If that order was lost nothing repeated it; a run whose end was recorded only after that report was left out; and the task was placed again without waiting for either. Now the refusal is tracked for each former start and incarnation: ordered until that incarnation confirms it, and done with once a report after that doesn't list the run. The task isn't placed while the present incarnation may have or take the start. If the worker can't be reached the wait ends with the longest lease.

Replies to stops don't tell which stop they answer, so none counts while a stop for an earlier incarnation is open.

Not prevented: a start that arrives before the first report.

--- a/Source/Dispatch/DelayedTasks.cpp
+++ b/Source/Dispatch/DelayedTasks.cpp
@@ -93,6 +93,7 @@
     return isProposed(Task)                   ? "proposed"
            : WorkerOfEndingRun.contains(Task) ? "end-unrecorded"
            : LateCompletions.contains(Task)   ? "completed-late"
+           : UnrefusedTasks.contains(Task)    ? "start-not-refused"
            : ClosingJobs.contains(Task.Job)   ? "job-closing"
                                               : "waiting";
   }
--- a/Source/Dispatch/Dispatcher.cpp
+++ b/Source/Dispatch/Dispatcher.cpp
@@ -100,6 +100,7 @@
   StallCounts.clear();
   Isolation.clear();
   WorkerOfEndingRun.clear();
+  UnrefusedTasks.clear();
   WorkersWithUnrecordedEnds.clear();
   UnplacedSince.clear();
   DelayedSince.clear();
@@ -173,7 +174,11 @@
   }
   const RunState &Run = RunIt->second;
   if (Run.UnansweredStarts > 0) {
-    Worker.FormerStarts.push_back({Task, Run.Number, Run.StartsSettledAt});
+    // The lease refuses a start that is late on the incarnation it is meant
+    // for.
+    addFormerStart(Worker,
+                   {Task, Run.Number, Run.StartsSettledAt,
+                    Run.EndedOn == 0 ? Run.WorkerIncarnation : Run.EndedOn});
   }
   Worker.Runs.erase(RunIt);
   const auto JobIt = RunCountsByJob.find(Task.Job);
--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -19,8 +19,6 @@
 /// at 20 ms for 1,000 workers.
 constexpr Duration SweepPeriodPerWorker = std::chrono::microseconds(20);
 constexpr Duration ForgetPeriod = std::chrono::seconds(1);
-/// An order without a reply is carried out no later than this.
-constexpr Duration MaxOrderDelay = std::chrono::seconds(15);
 /// Time that a worker takes to start again at least.
 constexpr Duration MinRestartTime = std::chrono::milliseconds(100);
 /// How far the clocks of hosts may be apart.
@@ -59,6 +57,7 @@
       // Nothing is left to record, so all ends seen so far count as recorded.
       advanceRecordedEnds(Worker, Worker.LastSeenEnd);
     }
+    refuseFormerStarts(Worker, Now);
     orderStops(Worker);
     orderPaces(Worker, Now);
     orderRenewal(Worker, Now, MayRenew);
@@ -82,9 +81,7 @@
         (Worker.IsUnresponsive || !Worker.HasReported)) {
       expireRuns(Worker, Now);
     }
-    std::erase_if(Worker.FormerStarts, [Now](const FormerStart &Start) {
-      return Start.SettledAt + MaxOrderDelay < Now;
-    });
+    removeSettledStarts(Worker, Now);
     if (!Worker.IsRegistered && Worker.Runs.empty() &&
         Worker.PossibleCrashes.empty() && Worker.FormerStarts.empty() &&
         Now >= Worker.LeasesExpireAt) {
@@ -144,16 +141,6 @@
          Born < Now - (Time.now() - TermStart) + MaxWallClockError;
 }
 
-void Dispatcher::refuseFormerStarts(WorkerState &Worker) {
-  if (!Worker.HasRestarted) {
-    return;
-  }
-  for (const FormerStart &Start : Worker.FormerStarts) {
-    Orders.emplace_back(
-        StopOrder{Worker.address(), Token, Start.Task, Start.Run});
-  }
-}
-
 void Dispatcher::orderStops(WorkerState &Worker) {
   if (!Worker.IsRegistered && !Worker.HasReported) {
     return;
--- a/Source/Dispatch/DispatcherPlan.cpp
+++ b/Source/Dispatch/DispatcherPlan.cpp
@@ -217,6 +217,7 @@
   for (const auto &[Name, Pool] : UsableByPool) {
     Isolation.reserveWorkers(Name, Pool.Workers, Now);
   }
+  UnrefusedTasks = findUnrefusedTasks(Now);
   const std::vector<WaitingStep> Candidates = findWaitingSteps();
   const std::map<StepRef, Instant> UnplacedBefore =
       std::exchange(UnplacedSince, {});
@@ -281,7 +282,7 @@
     const bool IsWaiting =
         Record == nullptr || Record->Phase == TaskPhase::Waiting;
     if (IsWaiting && !isProposed(Task) && !WorkerOfEndingRun.contains(Task) &&
-        !LateCompletions.contains(Task)) {
+        !LateCompletions.contains(Task) && !UnrefusedTasks.contains(Task)) {
       TaskIndexes.push_back(Task.Index);
     }
   }
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -83,7 +83,6 @@
       Worker.LeasesExpireAt =
           Now + MaxDeliveryTime + leaseBound(Settings.MaxRunLease);
     }
-    refuseFormerStarts(Worker);
   }
   Worker.IsUnresponsive = false;
   Worker.HasEnded = false;
@@ -95,6 +94,8 @@
   Worker.LastReportAt = Now;
   processEndedRuns(Worker, Report);
   processRunningTasks(Worker, Report, SentAt);
+  settleFormerStarts(Worker, Report, SentAt);
+  refuseFormerStarts(Worker, Now);
   settleRuns(Worker);
   adjustPace(Worker, Now);
   Worker.NextRenewalAt =
@@ -146,6 +147,7 @@
       continue;
     }
     updateWorkerHealth(Worker, EndedRun.Task, EndedRun.Outcome);
+    RunIt->second.EndedOn = Worker.Record.Instance.Incarnation;
     proposeEnd(Worker, EndedRun.Task, RunIt->second, EndedRun.Outcome,
                EndedRun.Checkpoint);
   }
@@ -245,8 +247,8 @@
              {"born", Worker.Record.Instance.Incarnation},
              {"current_run", currentRun(ReportedRun.Task)},
              {"why", "the journal has no such run on this worker"}});
-  Orders.emplace_back(
-      StopOrder{Worker.address(), Token, ReportedRun.Task, ReportedRun.Run});
+  // It is stopped in the same way as a start that has not been carried out.
+  addFormerStart(Worker, {ReportedRun.Task, ReportedRun.Run, Time.now()});
 }
 
 void Dispatcher::updateProgress(WorkerState &Worker,
@@ -334,6 +336,7 @@
         (Run.FromEarlierTerm ||
          (Run.StopConfirmedAt && *Run.StopConfirmedAt < SentAt));
     if (HasEnded || CannotStart) {
+      Run.EndedOn = Worker.Record.Instance.Incarnation;
       proposeEnd(Worker, Task, Run,
                  Run.OutcomeIfMissing.value_or(lostOutcome(Run)),
                  Run.Checkpoint);
@@ -491,6 +494,14 @@
   RunState *Run = Table == nullptr
                       ? nullptr
                       : findRun(Order.Worker.WorkerId, Order.Task, Order.Run);
+  Fenced = Fenced || Outcome == OrderOutcome::Fenced;
+  if (const auto It = Workers.find(Order.Worker.WorkerId);
+      Run == nullptr && Table != nullptr && It != Workers.end()) {
+    if (FormerStart *Start =
+            It->second.findFormerStart(Order.Task, Order.Run)) {
+      handleRefusalReply(It->second, *Start, Outcome);
+    }
+  }
   if (Run == nullptr) {
     return;
   }
@@ -502,7 +513,6 @@
     }
     Worker.NextRenewalAt = std::min(Worker.NextRenewalAt, Time.now());
   }
-  Fenced = Fenced || Outcome == OrderOutcome::Fenced;
 }
 
 } // namespace balsamlatch::dispatch
--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -95,6 +95,7 @@
   }
   Worker.Record.Instance.Incarnation = Incarnation;
   Worker.IncarnationLearntAt = Time.now();
+  forgetRefusals(Worker);
   Worker.SupersededIncarnation = 0;
   Worker.HasReported = false;
   Worker.HasEnded = false;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -256,9 +256,24 @@
   /// Whether a lease on the worker may have been asked for by the clock of an
   /// earlier incarnation.
   bool mayHoldEarlierLease(const WorkerState &Worker) const;
+  static void addFormerStart(WorkerState &Worker, const FormerStart &Start);
+  /// Removes starts that are too old to be carried out.
+  static void removeSettledStarts(WorkerState &Worker, Instant Now);
   /// Makes the present incarnation refuse starts that were left unanswered by
-  /// earlier ones.
-  void refuseFormerStarts(WorkerState &Worker);
+  /// earlier ones, until it has confirmed that.
+  void refuseFormerStarts(WorkerState &Worker, Instant Now);
+  void handleRefusalReply(WorkerState &Worker, FormerStart &Start,
+                          OrderOutcome Outcome);
+  /// Learns from a report which confirmed refusals have taken effect.
+  void settleFormerStarts(WorkerState &Worker, const RenewReport &Report,
+                          Instant SentAt);
+  /// What earlier incarnations refuse says nothing of the present one.
+  static void forgetRefusals(WorkerState &Worker);
+  /// Whether the task of the start must not be placed yet, as the worker may
+  /// run it.
+  bool isRefusalAwaited(const WorkerState &Worker, const FormerStart &Start,
+                        Instant Now) const;
+  std::set<TaskRef> findUnrefusedTasks(Instant Now) const;
   void orderStops(WorkerState &Worker);
   void orderPaces(WorkerState &Worker, Instant Now);
   void adjustPace(WorkerState &Worker, Instant Now);
@@ -385,6 +400,9 @@
   // Tasks that have completed in a run that had been declared lost, while that
   // isn't recorded yet. They must not be placed.
   std::unordered_set<TaskRef> LateCompletions;
+  // Tasks that wait, by the last plan, until a worker has refused a former
+  // start of them.
+  std::set<TaskRef> UnrefusedTasks;
   // The workers of runs in phase Ending.
   std::unordered_map<TaskRef, std::string> WorkerOfEndingRun;
   // When steps were first found to have tasks that no usable worker can take.
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -61,6 +61,9 @@
   std::int64_t WorkerIncarnation = 0;
   /// Incarnation of the worker that has reported the run; 0 if none has.
   std::int64_t ReportedBy = 0;
+  /// Incarnation of the worker on which the run has ended, or that will not
+  /// start it any more; 0 for none.
+  std::int64_t EndedOn = 0;
   Resources Claim;
   bool LongRunning = false;
   bool BestEffort = false;
@@ -119,12 +122,26 @@
   }
 };
 
-/// A run that has ended, some of whose start orders got no reply.
+/// A run that has ended by the journal, while a start of it may still be
+/// carried out or has been.
 struct FormerStart {
   TaskRef Task;
   std::uint32_t Run = 0;
-  /// When the calls with these orders had ended.
+  /// When the calls with its start orders had ended.
   Instant SettledAt{};
+  /// The incarnation of the worker that neither has the run nor will start it;
+  /// 0 for none.
+  std::int64_t RefusedBy = 0;
+  /// Stops without a reply. Replies don't tell to which stop they belong, so
+  /// none counts while one for a former incarnation is among them.
+  unsigned StopsInFlight = 0;
+  bool HasStopForFormer = false;
+  /// A stop for the present incarnation is in flight.
+  bool IsStopOrdered = false;
+  /// When the present incarnation confirmed a stop.
+  std::optional<Instant> StopConfirmedAt;
+  /// The earliest time of the next stop.
+  Instant NextStopAt{};
 };
 
 /// Whether the worker is kept free of new work for its host.
@@ -237,7 +254,7 @@
   std::map<TaskRef, RunState> Runs;
   /// Runs that were declared lost while the worker couldn't be reached.
   std::vector<PossibleCrash> PossibleCrashes;
-  /// Starts that a later incarnation must refuse.
+  /// Starts that the present incarnation must refuse, unless it has.
   std::vector<FormerStart> FormerStarts;
   // Invariant: the sum of the claims of all Runs that are not in phase Ending.
   Resources ClaimedResources;
@@ -273,6 +290,8 @@
     return Record.Draining || HostCordon == Cordon::OrderPending;
   }
   bool hasLabel(const std::string &Label) const;
+  /// Null if there is none.
+  FormerStart *findFormerStart(const TaskRef &Task, std::uint32_t Run);
   /// Whether best-effort tasks share the worker with serving tasks, so that the
   /// tails of the serving tasks control the pace of the best-effort tasks.
   bool hasBestEffortNextToServing() const;
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -61,6 +61,35 @@
   }
 };
 
+/// A simulation whose first start is repeated, and arrives late, at whichever
+/// incarnation is up then.
+class FormerStartSimulation : public RestartSimulation {
+public:
+  explicit FormerStartSimulation(Duration Delay) : RestartSimulation(2) {
+    for (FakeWorker &Worker : Workers) {
+      Worker.RunDuration = 400ms;
+    }
+    HeldOrdersOutliveWorkers = true;
+    OrderDelay = [this,
+                  Delay](const WorkerOrder &Order) -> std::optional<Duration> {
+      if (std::holds_alternative<StartOrder>(Order) && ++Starts == 1) {
+        return Delay;
+      }
+      if (std::holds_alternative<StopOrder>(Order) && LostStops > 0) {
+        --LostStops;
+        return 60s;
+      }
+      return std::nullopt;
+    };
+  }
+
+  /// The next stops to get lost on their way.
+  unsigned LostStops = 0;
+
+private:
+  unsigned Starts = 0;
+};
+
 /// Whether no guarantee is violated.
 bool holds(const Simulation &Sim) {
   for (const std::string &Violation : Sim.violations()) {
@@ -69,6 +98,20 @@
   return Sim.violations().empty();
 }
 
+/// Whether two runs of one task overlap.
+bool hasOverlap(const History &Observed) {
+  return std::any_of(
+      Observed.Runs.begin(), Observed.Runs.end(), [&](const RunTrace &First) {
+        return std::any_of(Observed.Runs.begin(), Observed.Runs.end(),
+                           [&](const RunTrace &Second) {
+                             return &First != &Second &&
+                                    First.Task == Second.Task &&
+                                    First.StartedAt <= Second.StartedAt &&
+                                    Second.StartedAt < First.EndedAt;
+                           });
+      });
+}
+
 /// Cuts off the worker that has the only run of the job, and checks that the
 /// task runs elsewhere, but not before the run has ended.
 void checkCutOffRunIsFollowed(RestartSimulation &Sim, const std::string &Job) {
@@ -297,3 +340,78 @@
   BOOST_TEST(Sim.countStarts("a") == 1);
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
 }
+
+// The only refusal of a former start was lost, and a completed task ran again.
+BOOST_AUTO_TEST_CASE(ALostRefusalOfAFormerStartIsRepeated) {
+  FormerStartSimulation Sim(4s);
+  Sim.LostStops = 3;
+  Sim.submit("a", simpleJob(1));
+  Sim.run(2s);
+  BOOST_REQUIRE((Sim.job("a").Record.State == jobs::JobState::Completed));
+  Sim.restartAll();
+  Sim.registerAll();
+  Sim.run(10s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
+
+// Of two restarts in a row, the second one came before the refusal or after it;
+// the incarnation that was up in the end must refuse the start.
+BOOST_AUTO_TEST_CASE(EachOfSeveralIncarnationsRefusesAFormerStart) {
+  for (const Duration Uptime : {10ms, 50ms, 500ms}) {
+    FormerStartSimulation Sim(4s);
+    Sim.submit("a", simpleJob(1));
+    Sim.run(2s);
+    for (unsigned Restarts = 0; Restarts < 3; ++Restarts) {
+      Sim.restartAll();
+      Sim.registerAll();
+      Sim.run(Uptime);
+    }
+    Sim.run(10s);
+    BOOST_TEST(holds(Sim));
+    BOOST_TEST(Sim.countStarts("a") == 1);
+  }
+}
+
+// A worker had reported after its restart when the end of the run was recorded,
+// and was not told to refuse the start.
+BOOST_AUTO_TEST_CASE(AFormerStartIsRefusedIfItsEndIsRecordedAfterTheRestart) {
+  FormerStartSimulation Sim(4s);
+  Sim.submit("a", simpleJob(1));
+  Sim.run(300ms);
+  Sim.JournalDelay = 1s;
+  Sim.run(500ms);
+  BOOST_REQUIRE(Sim.job("a").isOpen());
+  Sim.restartAll();
+  Sim.registerAll();
+  Sim.run(10s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
+
+// A task was placed again before its worker, known to have started again, had
+// refused the former start; the start was carried out beside the next run.
+BOOST_AUTO_TEST_CASE(ATaskWaitsForTheRefusalOfItsFormerStart) {
+  FormerStartSimulation Sim(2500ms);
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.FailsAll = true;
+  }
+  Sim.submit("a", simpleJob(1));
+  Sim.run(300ms);
+  Sim.JournalDelay = 1s;
+  Sim.run(500ms); // the end of the run is known
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.FailsAll = false;
+    Worker.RunDuration = 5s;
+  }
+  Sim.restartAll();
+  Sim.registerAll();
+  Sim.LostStops = 10;
+  Sim.run(1s);
+  Sim.JournalDelay = 5ms;
+  Sim.run(30s);
+  // The late start itself can't be prevented while all stops are lost.
+  BOOST_TEST(!hasOverlap(Sim.Observed));
+  BOOST_TEST(Sim.countStarts("a") == 3);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
