--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -19,12 +19,9 @@
 /// at 20 ms for 1,000 workers.
 constexpr Duration SweepPeriodPerWorker = std::chrono::microseconds(20);
 constexpr Duration ForgetPeriod = std::chrono::seconds(1);
-/// An order without a reply is carried out no later than this.
-constexpr Duration MaxOrderDelay = std::chrono::seconds(15);
-/// Time that a worker takes to start again at least.
-constexpr Duration MinRestartTime = std::chrono::milliseconds(100);
-/// How far the clocks of hosts may be apart.
-constexpr Duration MaxWallClockError = std::chrono::seconds(5);
+/// How far the clocks of hosts may be apart: the platform speaks of seconds,
+/// and has no bound. The worker's own clock decides for younger incarnations.
+constexpr Duration MaxWallClockError = std::chrono::minutes(1);
 /// Replies count as getting lost for this long after a lost one.
 constexpr Duration LossyTime = std::chrono::seconds(3);
 
@@ -59,6 +56,7 @@
       // Nothing is left to record, so all ends seen so far count as recorded.
       advanceRecordedEnds(Worker, Worker.LastSeenEnd);
     }
+    refuseFormerStarts(Worker, Now);
     orderStops(Worker);
     orderPaces(Worker, Now);
     orderRenewal(Worker, Now, MayRenew);
@@ -82,9 +80,7 @@
         (Worker.IsUnresponsive || !Worker.HasReported)) {
       expireRuns(Worker, Now);
     }
-    std::erase_if(Worker.FormerStarts, [Now](const FormerStart &Start) {
-      return Start.SettledAt + MaxOrderDelay < Now;
-    });
+    removeSettledStarts(Worker, Now);
     if (!Worker.IsRegistered && Worker.Runs.empty() &&
         Worker.PossibleCrashes.empty() && Worker.FormerStarts.empty() &&
         Now >= Worker.LeasesExpireAt) {
@@ -140,24 +136,14 @@
   }
   // An earlier leader may have known an earlier incarnation. It sent no more
   // orders for that one once it had learnt of this one, by the next renewal at
-  // the latest.
-  const WallTime Now = Time.wallNow();
-  const WallTime Born(
-      std::chrono::milliseconds(Worker.Record.Instance.Incarnation));
+  // the latest. The worker's clock starts with the incarnation and is never
+  // fast, so this one has been up for longer than its clock says.
   const Duration LongestEffect = Settings.IdleRenewalPeriod + MaxDeliveryTime +
                                  leaseBound(Settings.MaxRunLease);
-  return HasPredecessor && Now - Born < LongestEffect + MaxWallClockError &&
-         Born < Now - (Time.now() - TermStart) + MaxWallClockError;
-}
-
-void Dispatcher::refuseFormerStarts(WorkerState &Worker) {
-  if (!Worker.HasRestarted) {
-    return;
-  }
-  for (const FormerStart &Start : Worker.FormerStarts) {
-    Orders.emplace_back(
-        StopOrder{Worker.address(), Token, Start.Task, Start.Run});
-  }
+  const WallTime Born(
+      std::chrono::milliseconds(Worker.Record.Instance.Incarnation));
+  return HasPredecessor && Worker.Clock < LongestEffect &&
+         Time.wallNow() - Born < LongestEffect + MaxWallClockError;
 }
 
 void Dispatcher::orderStops(WorkerState &Worker) {
@@ -201,14 +187,12 @@
   }
 }
 
-std::uint64_t Dispatcher::acknowledgedEnd(WorkerState &Worker, Instant Now) {
-  const bool MayHaveRestarted = Now - Worker.LastReportAt > MinRestartTime;
+std::uint64_t Dispatcher::acknowledgedEnd(WorkerState &Worker) {
   const bool HasUnreportedRun = std::any_of(
       Worker.Runs.begin(), Worker.Runs.end(),
       [](const auto &RunEntry) { return RunEntry.second.mayBeTakenLater(); });
   // The reply to this renewal shows whether it has restarted.
-  Worker.IsAckWithheld =
-      MayHaveRestarted && HasUnreportedRun && !Worker.IsAckWithheld;
+  Worker.IsAckWithheld = HasUnreportedRun && !Worker.IsAckWithheld;
   return Worker.IsAckWithheld ? 0 : Worker.LastRecordedEnd;
 }
 
@@ -229,7 +213,7 @@
     Order.Worker.ReplyTimeout = Worker.patience();
   }
   Order.Token = Token;
-  Order.LastRecordedEnd = acknowledgedEnd(Worker, Now);
+  Order.LastRecordedEnd = acknowledgedEnd(Worker);
   // The worker reports ends that aren't recorded yet again at once, so a long
   // poll would not wait.
   const bool HasUnrecordedEnds = Worker.LastSeenEnd != Worker.LastRecordedEnd;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -257,9 +257,24 @@
   /// Whether a lease on the worker may have been asked for by the clock of an
   /// earlier incarnation.
   bool mayHoldEarlierLease(const WorkerState &Worker) const;
+  static void addFormerStart(WorkerState &Worker, const FormerStart &Start);
+  /// Removes starts that are too old to be carried out.
+  static void removeSettledStarts(WorkerState &Worker, Instant Now);
   /// Makes the present incarnation refuse starts that were left unanswered by
-  /// earlier ones.
-  void refuseFormerStarts(WorkerState &Worker);
+  /// earlier ones, until it has confirmed that.
+  void refuseFormerStarts(WorkerState &Worker, Instant Now);
+  void handleRefusalReply(WorkerState &Worker, FormerStart &Start,
+                          OrderOutcome Outcome);
+  /// Learns from a report which confirmed refusals have taken effect.
+  void settleFormerStarts(WorkerState &Worker, const RenewReport &Report,
+                          Instant SentAt);
+  /// What earlier incarnations refuse says nothing of the present one.
+  static void forgetRefusals(WorkerState &Worker);
+  /// Whether the task of the start must not be placed yet, as the worker may
+  /// run it.
+  bool isRefusalAwaited(const WorkerState &Worker, const FormerStart &Start,
+                        Instant Now) const;
+  std::set<TaskRef> findUnrefusedTasks(Instant Now) const;
   /// Raises LeaseOrdersSettledAt for an order that lengthens leases.
   static void noteLeaseOrder(WorkerState &Worker, Instant SettledAt);
   void orderStops(WorkerState &Worker);
@@ -269,7 +284,7 @@
   /// The number of the end up to which the worker may forget ends. It is 0 if
   /// the worker may have restarted with a run that it has not reported: a new
   /// incarnation counts its ends from 1 and would forget them.
-  static std::uint64_t acknowledgedEnd(WorkerState &Worker, Instant Now);
+  static std::uint64_t acknowledgedEnd(WorkerState &Worker);
   void orderStart(WorkerState &Worker, const TaskRef &Task, RunState &Run);
   /// Sends a start order, also again if it got no reply. The journal must have
   /// the run as the current one of its task.
@@ -388,6 +403,9 @@
   // Tasks that have completed in a run that had been declared lost, while that
   // isn't recorded yet. They must not be placed.
   std::unordered_set<TaskRef> LateCompletions;
+  // Tasks that wait, by the last plan, until a worker has refused a former
+  // start of them.
+  std::set<TaskRef> UnrefusedTasks;
   // The workers of runs in phase Ending.
   std::unordered_map<TaskRef, std::string> WorkerOfEndingRun;
   // When steps were first found to have tasks that no usable worker can take.
