--- a/Tests/Dispatch/CrashEvidenceTest.cpp
+++ b/Tests/Dispatch/CrashEvidenceTest.cpp
@@ -88,3 +88,12 @@
   Restarted.Worker.IncarnationLearntAt = Restarted.At.Now - 1s;
   BOOST_TEST(isRecentlyStarted(Restarted.Worker, Restarted.At));
 }
+
+// The same for the judgement: a worker that the leader had just seen restart
+// was taken for one of a minute's age, as its host's clock is slow.
+BOOST_AUTO_TEST_CASE(ACrashAfterARestartThatWasSeenIsInDoubt) {
+  Crash Restarted(1min);
+  Restarted.Worker.HasRestarted = true;
+  Restarted.Worker.IncarnationLearntAt = Restarted.Run.StartedAt - 200ms;
+  BOOST_TEST((Restarted.judge() == RunOutcome::WorkerCrashedUnconfirmed));
+}
