tests: A host list of a crash ends the next incarnation's run

Fails on, without a fix: an order to a host gets no reply, a list from before the worker is back shows the host as down, and handleHostGone() ends a run that the next incarnation has taken: overlapping runs.

--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -1031,3 +1031,45 @@
   }
   BOOST_TEST(Moves == 0U);
 }
+
+// A host list from before a worker was back under its ID, after an order that
+// was lost, ended a run that the next incarnation had taken; it ran twice.
+BOOST_AUTO_TEST_CASE(AListOfACrashedHostDoesNotEndTheNextIncarnation) {
+  FleetFixture Fleet(2);
+  Simulation &Sim = Fleet.Sim;
+  Sim.Registrations.emplace();
+  for (const FakeWorker &Worker : Sim.Workers) {
+    (*Sim.Registrations)[Worker.Record.Instance.Id] = Worker.Record;
+  }
+  Sim.RegistrationsChanged = true;
+  Sim.run(10s);
+  Fleet.publishHosts();
+  for (FakeWorker &Worker : Sim.Workers) {
+    Worker.crash(Sim.Time.now(), Sim.Observed);
+  }
+  Sim.submit("a", longRunningJob(1));
+  while (Sim.countStarts("a") == 0) {
+    Sim.run(5ms);
+  }
+  const std::size_t Index = Sim.Workers[0].runs().empty() ? 1 : 0;
+  Fleet.Scheduler.addWave(waveOf({Fleet.Hosts[Index]}, 1));
+  const std::vector<HostOrder> Orders = Fleet.decide();
+  BOOST_REQUIRE(Orders.size() == 1);
+  BOOST_REQUIRE(Sim.Workers[Index].runs().size() == 1);
+  Fleet.Scheduler.handleReply(Orders.front(), false);
+  Fleet.Hosts[Index].Status = HostStatus::Down;
+  Fleet.Hosts[Index].WorkerId.clear();
+  Fleet.publishHosts();
+  Fleet.Hosts[Index].Status = HostStatus::Up;
+  Fleet.Hosts[Index].WorkerId = Sim.Workers[Index].Record.Instance.Id;
+  Sim.run(200ms);
+  for (const FakeWorker &Worker : Sim.Workers) {
+    (*Sim.Registrations)[Worker.Record.Instance.Id] = Worker.Record;
+  }
+  Sim.RegistrationsChanged = true;
+  Sim.run(5s);
+  for (const std::string &Violation : Sim.violations()) {
+    BOOST_TEST_MESSAGE(Violation);
+  }
+  BOOST_TEST(Sim.violations().empty());
+}
