tests: A held reply of a carrier does not prolong orders

Fails on, without a fix: the carrier's clock is read when it replies, but counted from when the call was sent, so an order expires up to MaxReplyHold, 300 ms, late.

--- a/Tests/Control/CarrierTest.cpp
+++ b/Tests/Control/CarrierTest.cpp
@@ -315,6 +315,23 @@
   BOOST_TEST(Direct.Orders.empty());
 }
 
+// A carrier that had held its reply was paused, and sent a start after the time
+// at which the leader counts the call as over.
+BOOST_FIXTURE_TEST_CASE(AHeldReplyDoesNotProlongOrders, PoolFixture) {
+  start("w1");
+  const CarrierCall Call = takeCall();
+  Time.advance(MaxReplyHold);
+  ReplyBatch Held = reply({});
+  Held.Clock = Instant(7s + MaxReplyHold);
+  Pool.handleReplies(Call.Number, Held);
+  start("w2");
+  const auto Batch = decodeOrderBatch(takeCall().Body);
+  BOOST_REQUIRE(Batch.ok());
+  BOOST_REQUIRE(Batch->Orders.size() == 1);
+  // The carrier's clock shows 7.3 s, and the reply is due 400 ms later.
+  BOOST_TEST((Batch->Orders.front().ExpiresAt <= Instant(7700ms)));
+}
+
 BOOST_FIXTURE_TEST_CASE(OrdersThatDidNotReachTheCarrierAreSentDirectly,
                         PoolFixture) {
   start("w");
