control: A carrier's held reply doesn't prolong orders

A carrier could send an order up to 300 ms after the time at which the leader counts its call as over: the carrier's clock was read when its held reply went out, but the leader added the time since it had sent the call. It now adds the time since the reply arrived, so the expiry is never later than reckoned.

Failed before: AHeldReplyDoesNotProlongOrders.

--- a/Source/Control/CarrierPool.cpp
+++ b/Source/Control/CarrierPool.cpp
@@ -222,7 +222,7 @@
   }
   const Instant Now = Time.now();
   const std::uint64_t Number = ++LastOrder;
-  const Instant ExpiresAt = To->Clock + (Now - To->ClockSentAt) +
+  const Instant ExpiresAt = To->Clock + (Now - To->ClockReceivedAt) +
                             dispatch::workerOf(Order).ReplyTimeout;
   To->Queue.push_back({Number, encodeOrder({Number, Order, ExpiresAt})});
   const Instant Deadline = Now + timeLimit(Order) + CarryAllowance;
@@ -339,7 +339,7 @@
   }
   From.Process = Batch.CarrierProcess;
   From.Clock = Batch.Clock;
-  From.ClockSentAt = Call.SentAt;
+  From.ClockReceivedAt = Time.now();
   if (From.Phase == CarrierPhase::Greeting ||
       From.IsLeaving != Batch.IsLeaving) {
     From.Phase = CarrierPhase::Ready;
--- a/Source/Control/include/balsamlatch/Control/CarrierPool.h
+++ b/Source/Control/include/balsamlatch/Control/CarrierPool.h
@@ -96,12 +96,12 @@
     EntryRecord Entry;
     CarrierPhase Phase = CarrierPhase::Unused;
     Instant BackoffUntil{};
-    /// The carrier's process, and its clock when it replied to a call that was
-    /// sent at ClockSentAt. The carrier's clock shows at most Clock and the
-    /// time since ClockSentAt.
+    /// The carrier's process, and its clock when it made the reply that arrived
+    /// at ClockReceivedAt. The carrier's clock shows at least Clock and the time
+    /// since then.
     std::int64_t Process = 0;
     Instant Clock{};
-    Instant ClockSentAt{};
+    Instant ClockReceivedAt{};
     bool IsLeaving = false;
     unsigned OpenCalls = 0;
     /// Orders that were sent to the carrier and have no reply.
