--- a/Tests/Soak/Disruptions.cpp
+++ b/Tests/Soak/Disruptions.cpp
@@ -31,6 +31,9 @@
 private:
   void add(DisruptionKind Kind, milliseconds Start, int LengthMs,
            unsigned Worker = 0, int AmountMs = 0) {
+    if (Kind == DisruptionKind::HoldCalls && !Options.HoldsCalls) {
+      return; // here, so that the rest of the plan is the same
+    }
     Plan.push_back(
         {Kind, Start, milliseconds(LengthMs), Worker, milliseconds(AmountMs)});
   }
@@ -45,7 +48,7 @@
     const auto Zone = static_cast<unsigned>(Random.between(0, 2));
     const int Restarts = Random.between(1, 3);
     const bool HasCut = Random.chance(70);
-    const bool Holds = Options.HoldsCalls && Random.chance(30);
+    const bool Holds = Random.chance(30);
     const bool Loses = Random.chance(30);
     const bool Skewed = Random.chance(40);
     milliseconds Last = Begin;
