--- a/Source/Control/include/balsamlatch/Control/CarrierPool.h
+++ b/Source/Control/include/balsamlatch/Control/CarrierPool.h
@@ -97,8 +97,8 @@
     CarrierPhase Phase = CarrierPhase::Unused;
     Instant BackoffUntil{};
     /// The carrier's process, and its clock when it made the reply that arrived
-    /// at ClockReceivedAt. The carrier's clock shows at least Clock and the time
-    /// since then.
+    /// at ClockReceivedAt. The carrier's clock shows at least Clock and the
+    /// time since then.
     std::int64_t Process = 0;
     Instant Clock{};
     Instant ClockReceivedAt{};
