review: Two runs at once after a late renewal, a restart and a cut

A renewal for a worker's former life lengthens the leases of its next one beyond what the leader allows for.

--- a/review/standin-2/PlatformLink.cpp
+++ b/review/standin-2/PlatformLink.cpp
@@ -16,8 +16,9 @@
 class PlatformLink::Channel : public std::enable_shared_from_this<Channel> {
 public:
   Channel(PlatformLink &Parent, Tcp::socket Socket)
-      : Owner(Parent), OpenedInCut(Parent.Cut),
-        Sockets{std::move(Socket), Tcp::socket(Parent.Context)} {
+      : Owner(Parent),
+        OpenedInCut(Parent.Cut), Sockets{std::move(Socket),
+                                         Tcp::socket(Parent.Context)} {
     boost::system::error_code Ignored;
     Sockets[0].set_option(Tcp::no_delay(true), Ignored);
   }
--- a/review/standin-2/Site.cpp
+++ b/review/standin-2/Site.cpp
@@ -87,7 +87,7 @@
   unsigned Index = 0;
   for (std::size_t Pool = 0; Pool < Options.Pools.size(); ++Pool) {
     const auto &[Name, Count] = Options.Pools[Pool];
-    if (Pool + 1 < Options.Pools.size()) {
+    if (!Options.HasStandby || Pool + 1 < Options.Pools.size()) {
       QueuePools.push_back(Name);
     }
     for (unsigned I = 0; I < Count; ++I, ++Index) {
@@ -210,10 +210,10 @@
   json::array Routes;
   json::array Services;
   for (const auto &[Name, Count] : Options.Pools) {
-    const bool IsStandby = Name == Options.Pools.back().first;
-    Services.push_back(json::object{{"name", Name},
-                                    {"standby", IsStandby},
-                                    {"rejects_overload", true}});
+    const bool IsStandby =
+        Options.HasStandby && Name == Options.Pools.back().first;
+    Services.push_back(json::object{
+        {"name", Name}, {"standby", IsStandby}, {"rejects_overload", true}});
   }
   for (const std::string &Pool : QueuePools) {
     // Clients name the address that they call as the host.
@@ -229,12 +229,11 @@
                                     {"latency_target_ms", 2000}});
     }
   }
-  Store.put("op/config",
-            json::serialize(json::object{
-                {"version", ConfigVersion++},
-                {"routes", std::move(Routes)},
-                {"services", std::move(Services)},
-                {"limits", {{"max_body_bytes", 262144}}}}));
+  Store.put("op/config", json::serialize(json::object{
+                             {"version", ConfigVersion++},
+                             {"routes", std::move(Routes)},
+                             {"services", std::move(Services)},
+                             {"limits", {{"max_body_bytes", 262144}}}}));
 }
 
 void Site::putWave(std::uint64_t Number, const std::vector<std::string> &Names,
@@ -277,11 +276,11 @@
     Call.Respond(http::jsonResponse(503, "{}"));
     return;
   }
-  Store.handle(Call.Message, nowMs(), [this, Respond = Call.Respond](
-                                          const http::Response &Answer) {
-    // The store answers after 4 ms.
-    after(milliseconds(4), [Respond, Answer] { Respond(Answer); });
-  });
+  Store.handle(Call.Message, nowMs(),
+               [this, Respond = Call.Respond](const http::Response &Answer) {
+                 // The store answers after 4 ms.
+                 after(milliseconds(4), [Respond, Answer] { Respond(Answer); });
+               });
 }
 
 void Site::handleMachineOrder(const std::string &Kind,
@@ -295,9 +294,9 @@
   const std::string Pool =
       Kind == "move" ? std::string(Body.at("pool").as_string()) : "";
   const auto WaveIt = Waves.find(Wave);
-  const bool IsDone = One != nullptr && (Kind == "move"
-                                             ? One->Pool == Pool
-                                             : One->WavesDone.contains(Wave));
+  const bool IsDone =
+      One != nullptr &&
+      (Kind == "move" ? One->Pool == Pool : One->WavesDone.contains(Wave));
   unsigned Status = 200;
   std::string Reason;
   if (One == nullptr) {
@@ -380,21 +379,20 @@
 }
 
 void Site::registerWorker(Machine &One) {
-  Store.put(
-      "servers/" + One.WorkerId,
-      json::serialize(json::object{
-          {"service", One.Pool},
-          {"address", fmt::format("{}:{}", One.Ip, WorkerPort)},
-          {"zone", One.Zone},
-          {"version", "v1"},
-          {"slots", 8},
-          {"state", "ready"},
-          {"cold_remaining_ms", 0},
-          {"capacity",
-           {{"cpu", Options.MachineCpu}, {"mem_mb", 65536}, {"gpus", 0}}},
-          {"labels", json::array{"a", "rack-" + One.Zone}},
-          {"sequence", ++One.Sequence},
-          {"born", One.Born}}));
+  Store.put("servers/" + One.WorkerId,
+            json::serialize(json::object{
+                {"service", One.Pool},
+                {"address", fmt::format("{}:{}", One.Ip, WorkerPort)},
+                {"zone", One.Zone},
+                {"version", "v1"},
+                {"slots", 8},
+                {"state", "ready"},
+                {"cold_remaining_ms", 0},
+                {"capacity",
+                 {{"cpu", Options.MachineCpu}, {"mem_mb", 65536}, {"gpus", 0}}},
+                {"labels", json::array{"a", "rack-" + One.Zone}},
+                {"sequence", ++One.Sequence},
+                {"born", One.Born}}));
 }
 
 void Site::endWorker(Machine &One) {
@@ -498,6 +496,10 @@
   answerRenewals(One);
 }
 
+void Site::executeStoreCall(const http::Request &Message) {
+  Store.handle(Message, nowMs(), [](const http::Response &) {});
+}
+
 void Site::answerRenewals(Machine &One) {
   for (Machine::Waiting &Renewal : std::exchange(One.Renewals, {})) {
     if (One.Model->hasEnds() || nowMs() >= Renewal.UntilMs) {
@@ -522,12 +524,13 @@
                CallTimeout,
                [this, Entry, Method, Path,
                 Done = std::move(Done)](const http::Outcome &Result) {
-                 note("client-answered",
-                      {{"entry", Entry},
-                       {"method", Method},
-                       {"path", Path},
-                       {"status", Result.Status.ok() ? Result.Answer.Status : 0},
-                       {"body", Result.Answer.Body}});
+                 note(
+                     "client-answered",
+                     {{"entry", Entry},
+                      {"method", Method},
+                      {"path", Path},
+                      {"status", Result.Status.ok() ? Result.Answer.Status : 0},
+                      {"body", Result.Answer.Body}});
                  Done(Result);
                });
 }
@@ -609,21 +612,21 @@
   const auto Ready = std::make_shared<unsigned>(0);
   const auto Answers = std::make_shared<unsigned>(0);
   for (unsigned I = 0; I < Options.Entries; ++I) {
-    Clients.call(entryIp(I), ReadyPort, {"GET", "/v1/ready"}, ReadyTimeout,
-                 [this, Ready, Answers, Polls, Then](const http::Outcome &Reply) {
-                   *Ready += Reply.Status.ok() && Reply.Answer.Status == 200;
-                   if (++*Answers < Options.Entries) {
-                     return;
-                   }
-                   if (*Ready == Options.Entries && leader()) {
-                     note("ready", {{"leader", *leader()}});
-                     after(milliseconds(1500), Then);
-                     return;
-                   }
-                   after(milliseconds(50), [this, Polls, Then] {
-                     awaitReady(Polls - 1, Then);
-                   });
-                 });
+    Clients.call(
+        entryIp(I), ReadyPort, {"GET", "/v1/ready"}, ReadyTimeout,
+        [this, Ready, Answers, Polls, Then](const http::Outcome &Reply) {
+          *Ready += Reply.Status.ok() && Reply.Answer.Status == 200;
+          if (++*Answers < Options.Entries) {
+            return;
+          }
+          if (*Ready == Options.Entries && leader()) {
+            note("ready", {{"leader", *leader()}});
+            after(milliseconds(1500), Then);
+            return;
+          }
+          after(milliseconds(50),
+                [this, Polls, Then] { awaitReady(Polls - 1, Then); });
+        });
   }
 }
 
--- a/review/standin-2/Site.h
+++ b/review/standin-2/Site.h
@@ -40,6 +40,8 @@
   /// Pools and the number of machines in each; the last one is in standby.
   std::vector<std::pair<std::string, unsigned>> Pools;
   std::int64_t MachineCpu = 16'000;
+  /// Without it, no pool is in standby.
+  bool HasStandby = true;
 };
 
 /// An order for a machine as it arrived at the platform.
@@ -107,6 +109,8 @@
   /// Executes an order on the worker that is up now, without an answer.
   void executeLate(Machine &One, const std::string &Path,
                    const json::object &Body);
+  /// Executes a call of the store without an answer.
+  void executeStoreCall(const http::Request &Message);
   void putWave(std::uint64_t Number, const std::vector<std::string> &Names,
                unsigned MaxAway, double LengthS);
   void putConfig();
@@ -127,6 +131,8 @@
   std::function<bool(Machine &, const http::Request &, const json::object &,
                      http::Responder &)>
       OnOrder;
+  /// May take a call of the store before the store does; true if it has.
+  std::function<bool(const http::Request &, http::Responder &)> OnStoreCall;
   std::function<void(const std::string &)> OnEntryExit;
 
   std::vector<std::unique_ptr<Machine>> Machines;
