--- a/review/standin-2/Site.cpp
+++ b/review/standin-2/Site.cpp
@@ -250,6 +250,11 @@
 
 void Site::handlePlatform(http::Exchange Call) {
   const std::string Path(Call.Message.path());
+  if (AreMachinesSilent && Path.starts_with("/v1/machine")) {
+    note("machine-call-lost", {{"path", Path}, {"body", Call.Message.Body}});
+    Unanswered.push_back(std::move(Call.Respond));
+    return;
+  }
   if (Path == "/v1/machines") {
     json::array Rows;
     for (const auto &One : Machines) {
@@ -496,6 +501,11 @@
   answerRenewals(One);
 }
 
+void Site::setMachinesSilent(bool IsSilent) {
+  note(IsSilent ? "machines-silent" : "machines-back");
+  AreMachinesSilent = IsSilent;
+}
+
 void Site::executeStoreCall(const http::Request &Message) {
   Store.handle(Message, nowMs(), [](const http::Response &) {});
 }
--- a/review/standin-2/Site.h
+++ b/review/standin-2/Site.h
@@ -109,6 +109,12 @@
   /// Executes an order on the worker that is up now, without an answer.
   void executeLate(Machine &One, const std::string &Path,
                    const json::object &Body);
+  /// The value of the first item of the store whose key begins so.
+  std::string storeValue(const std::string &Key) const {
+    return Store.valueOf(Key);
+  }
+  /// While it is set, the machine interface neither answers nor does anything.
+  void setMachinesSilent(bool IsSilent);
   /// Executes a call of the store without an answer.
   void executeStoreCall(const http::Request &Message);
   void putWave(std::uint64_t Number, const std::vector<std::string> &Names,
@@ -173,6 +179,8 @@
   std::vector<std::unique_ptr<PlatformLink>> Links;
   std::vector<pid_t> Pids;
   std::map<std::uint64_t, std::vector<std::string>> Waves;
+  bool AreMachinesSilent = false;
+  std::vector<http::Responder> Unanswered;
   Verdict Outcome = NotPlayed;
 };
 
