--- a/review/standin-2/Site.cpp
+++ b/review/standin-2/Site.cpp
@@ -457,6 +457,9 @@
 }
 
 void Site::handleOrder(Machine &One, http::Exchange Order) {
+  if (!One.Model) {
+    return; // the worker has just ended
+  }
   One.Model->advance(nowMs() - One.UpSinceMs);
   const std::string_view Meant = Order.Message.header("expected-instance");
   if (!Meant.empty() && Meant != One.WorkerId) {
@@ -511,6 +514,9 @@
 }
 
 void Site::answerRenewals(Machine &One) {
+  if (!One.Model) {
+    return;
+  }
   for (Machine::Waiting &Renewal : std::exchange(One.Renewals, {})) {
     if (One.Model->hasEnds() || nowMs() >= Renewal.UntilMs) {
       Renewal.Respond(
