--- a/review/standin-2/Site.cpp
+++ b/review/standin-2/Site.cpp
@@ -3,6 +3,7 @@
 
 #include "Site.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -139,17 +140,22 @@
 }
 
 Verdict Site::play(const std::function<void()> &Script) {
-  startPlatform();
-  for (const auto &One : Machines) {
-    startMachine(*One, true);
-  }
-  for (unsigned I = 0; I < Options.Entries; ++I) {
-    writeSettings(I);
-    startEntry(I);
+  try {
+    startPlatform();
+    for (const auto &One : Machines) {
+      startMachine(*One, true);
+    }
+    for (unsigned I = 0; I < Options.Entries; ++I) {
+      writeSettings(I);
+      startEntry(I);
+    }
+    tick();
+    awaitReady(MaxReadyPolls, Script);
+    Context.run();
+  } catch (const std::exception &Error) {
+    note("failed", {{"why", Error.what()}});
+    Outcome = NotPlayed;
   }
-  tick();
-  awaitReady(MaxReadyPolls, Script);
-  Context.run();
   endProcesses();
   note("verdict", {{"exit", static_cast<int>(Outcome)}});
   return Outcome;
--- a/review/standin-2/Site.h
+++ b/review/standin-2/Site.h
@@ -20,6 +20,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <string>
 #include <sys/types.h>
 #include <vector>
