--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -40,6 +40,20 @@
       Worker.crash(Time.now(), Observed);
     }
   }
+  /// Runs for \p For while the host list is read every 250 ms, without the
+  /// hosts of the workers \p Missing.
+  void listHosts(const std::set<std::string> &Missing, Duration For) {
+    std::set<std::string> Ids;
+    for (const FakeWorker &Worker : Workers) {
+      if (!Missing.contains(Worker.Record.Instance.Id)) {
+        Ids.insert(Worker.Record.Instance.Id);
+      }
+    }
+    for (const Instant Until = Time.now() + For; Time.now() < Until;) {
+      JobDispatcher->setHostedWorkers(Ids);
+      run(std::min<Duration>(250ms, Until - Time.now()));
+    }
+  }
   /// Restarts all workers, then runs until one of them has taken a start that
   /// was meant for its former incarnation.
   void startOnRestartedWorker(const std::string &Job, jobs::JobSpec Spec) {
@@ -391,6 +405,96 @@
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
 }
 
+// Host lists that show no host say that no worker has the run, but not that
+// none will: a start that was held for seconds reached the next incarnation,
+// and the task ran twice at the same time.
+BOOST_AUTO_TEST_CASE(
+    AStartThatIsHeldForSecondsOutlivesHostListsWithoutItsWorker,
+    *boost::unit_test::disabled()) {
+  for (const Duration Delay : {3s, 8s, 12s}) {
+    RestartSimulation Sim(2);
+    Sim.HeldOrdersOutliveWorkers = true;
+    std::string Target;
+    Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+      const bool IsStart = std::holds_alternative<StartOrder>(Order);
+      if (IsStart && Target.empty()) {
+        Target = workerOf(Order).WorkerId;
+        Sim.find(Target)->HasCrashed = true;
+      }
+      return IsStart && workerOf(Order).WorkerId == Target
+                 ? std::optional(Delay)
+                 : std::nullopt;
+    };
+    Sim.submit("a", simpleJob(1));
+    while (Target.empty()) {
+      Sim.run(5ms);
+    }
+    const Instant CrashedAt = Sim.Time.now();
+    Sim.listHosts({Target}, Delay - 100ms);
+    Sim.find(Target)->crash(Sim.Time.now(), Sim.Observed);
+    Sim.listHosts({}, 70s);
+    BOOST_TEST_CONTEXT("held for " << Delay / 1s << " s") {
+      BOOST_TEST(holds(Sim));
+      BOOST_TEST(hasOverlap(Sim.Observed) == false);
+      BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+      BOOST_TEST((Sim.Time.now() - CrashedAt > Delay));
+    }
+  }
+}
+
+// Host lists from before a start that a restarted worker had taken, but whose
+// replies were lost, ended the run while it went on behind a cut.
+BOOST_AUTO_TEST_CASE(HostListsFromBeforeAStartDoNotEndItsRun,
+                     *boost::unit_test::disabled()) {
+  RestartSimulation Sim(2);
+  Sim.listHosts({}, 3s);
+  Sim.LosesAnswer = [&](const WorkerOrder &Order) {
+    return Sim.countStarts("a") > 0 &&
+           workerOf(Order).WorkerId == Sim.Observed.Runs.back().Worker;
+  };
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  const std::string Target = Sim.workerOfRun().Record.Instance.Id;
+  Sim.cutOff(*Sim.find(Target));
+  // The lists show the time at which the host's worker was down.
+  Sim.listHosts({Target}, 1900ms);
+  Sim.listHosts({}, 2s);
+  Sim.LosesAnswer = nullptr;
+  Sim.find(Target)->IsDown = false;
+  Sim.registerAll();
+  Sim.listHosts({}, 70s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
+
+// A host list that was taken before a restart was counted as one that shows the
+// next incarnation, and those from the time of the restart ended its runs.
+BOOST_AUTO_TEST_CASE(AHostListFromBeforeARestartDoesNotShowTheNextIncarnation,
+                     *boost::unit_test::disabled()) {
+  RestartSimulation Sim(2);
+  Sim.restartAll();
+  Sim.registerAll();
+  Sim.submit("a", simpleJob(1));
+  while (Sim.countStarts("a") == 0) {
+    Sim.run(5ms);
+  }
+  Sim.run(100ms);
+  FakeWorker &Worker = Sim.workerOfRun();
+  const std::string Target = Worker.Record.Instance.Id;
+  BOOST_REQUIRE(
+      Sim.JobDispatcher->workers().at(Target).Runs.begin()->second.ReportedBy ==
+      Worker.Record.Instance.Incarnation);
+  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"});
+  Sim.cutOff(Worker);
+  Sim.listHosts({Target}, 1500ms);
+  Sim.listHosts({}, 2s);
+  Sim.find(Target)->IsDown = false;
+  Sim.listHosts({}, 70s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
+
 // Host lists from before the restart ended the runs of the next incarnation.
 BOOST_AUTO_TEST_CASE(HostListsFromBeforeARestartDoNotEndTheNextIncarnation) {
   RestartSimulation Sim(2);
