soak: Host lists are up to 2 s old, and single workers are cut off

What was missed: the list of machines was always as of its read, so no list from before a restart was read after it, and cuts began only after a zone's restarts. Lists now have one age for all reads of a play, or one for each; single workers are cut off 0.1 s to 0.6 s after a restart, or while calls are held on their way. The bursts of a seed stay as they were.

--- a/Tests/Soak/Disruptions.cpp
+++ b/Tests/Soak/Disruptions.cpp
@@ -1,6 +1,6 @@
 /// \file
 /// Bursts of restarts of a zone's workers, each with a cut and something else
-/// beside it.
+/// beside it, and cuts of single workers.
 
 #include "Disruptions.h"
 
@@ -13,12 +13,13 @@
 class Planner {
 public:
   explicit Planner(const PlanOptions &Values)
-      : Options(Values), Random(Values.Seed) {}
+      : Options(Values), Random(Values.Seed), Single(Values.Seed ^ 0xc075U) {}
 
   std::vector<Disruption> plan() {
     milliseconds Begin(Random.between(2500, 4000));
     while (Begin < Options.Length) {
       burst(Begin);
+      singleCuts(Begin);
       Begin += milliseconds(Random.between(2500, 6000));
     }
     std::stable_sort(Plan.begin(), Plan.end(),
@@ -117,8 +118,50 @@
     }
   }
 
+  /// Drawn apart, so that the bursts of a seed stay as they are.
+  void singleCuts(milliseconds Begin) {
+    for (int Count = Single.between(1, 4); Count > 0; --Count) {
+      const auto Worker = static_cast<unsigned>(
+          Single.between(0, static_cast<int>(Options.Zones.size()) - 1));
+      const milliseconds At = Begin + milliseconds(Single.between(-1500, 2500));
+      if (Single.chance(50)) {
+        cutAfterRestart(At, Worker);
+      } else {
+        cutCallsOnTheirWay(At, Worker);
+      }
+    }
+  }
+
+  void cutAfterRestart(milliseconds At, unsigned Worker) {
+    const int Down =
+        Single.chance(50) ? Single.between(10, 150) : Single.between(300, 1500);
+    const int CutAfter = Single.between(100, 600);
+    const milliseconds Up = At + milliseconds(Down);
+    add(DisruptionKind::RestartWorker, At, Down, Worker);
+    if (Single.chance(50)) { // a start is carried out, and nobody learns of it
+      add(DisruptionKind::LoseAnswers, Up, CutAfter, Worker);
+    }
+    add(DisruptionKind::CutWorker, Up + milliseconds(CutAfter),
+        Single.between(2000, 7000), Worker);
+  }
+
+  void cutCallsOnTheirWay(milliseconds At, unsigned Worker) {
+    const int CutAfter = Single.between(20, 300);
+    const int Length = Single.between(2000, 7000);
+    const milliseconds CutAt = At + milliseconds(CutAfter);
+    add(DisruptionKind::HoldCalls, At, CutAfter + Single.between(10, 200),
+        Worker);
+    add(DisruptionKind::CutWorker, CutAt, Length, Worker);
+    if (Single.chance(70)) { // another incarnation gets the calls
+      add(DisruptionKind::RestartWorker,
+          CutAt + milliseconds(Single.between(50, Length - 100)),
+          Single.between(10, 1500), Worker);
+    }
+  }
+
   const PlanOptions &Options;
   Draw Random;
+  Draw Single; // of the cuts of single workers
   std::vector<Disruption> Plan;
 };
 
--- a/Tests/Soak/PartsTest.cpp
+++ b/Tests/Soak/PartsTest.cpp
@@ -112,3 +112,38 @@
   });
   BOOST_TEST((Plan == drawDisruptions(Options)));
 }
+
+// Starts on their way, and young incarnations, are cut off: else no host list
+// is read before a worker is heard of again, and no fault of that kind is seen.
+BOOST_AUTO_TEST_CASE(SingleWorkersAreCutOff) {
+  unsigned AfterRestart = 0;
+  unsigned WhileHeld = 0;
+  for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
+    PlanOptions Options;
+    Options.Seed = Seed;
+    Options.Zones = {0, 1, 2, 0, 1, 2};
+    const std::vector<Disruption> Plan = drawDisruptions(Options);
+    for (const Disruption &Cut : Plan) {
+      if (Cut.Kind != DisruptionKind::CutWorker) {
+        continue;
+      }
+      for (const Disruption &Other : Plan) {
+        const milliseconds Since = Cut.Start - Other.Start - Other.Length;
+        if (Other.Worker != Cut.Worker) {
+          continue;
+        }
+        AfterRestart += Other.Kind == DisruptionKind::RestartWorker &&
+                                Since >= milliseconds(100) &&
+                                Since <= milliseconds(600)
+                            ? 1
+                            : 0;
+        WhileHeld += Other.Kind == DisruptionKind::HoldCalls &&
+                             Other.Start < Cut.Start && Since.count() < 0
+                         ? 1
+                         : 0;
+      }
+    }
+  }
+  BOOST_TEST(AfterRestart > 10U);
+  BOOST_TEST(WhileHeld > 10U);
+}
--- a/Tests/Soak/RunPlatform.cpp
+++ b/Tests/Soak/RunPlatform.cpp
@@ -12,7 +12,9 @@
 #include <chrono>
 #include <csignal>
 #include <cxxopts.hpp>
+#include <deque>
 #include <fmt/format.h>
+#include <optional>
 #include <random>
 #include <set>
 #include <sys/prctl.h>
@@ -28,6 +30,8 @@
 constexpr milliseconds TickLength(10);
 /// Three liveness report intervals of silence remove a registration.
 constexpr std::int64_t RegistrationMs = 4500;
+/// A list of machines may be that old when it is read.
+constexpr std::int64_t MaxListAgeMs = 2000;
 constexpr int ExitUnusable = 2;
 
 class Platform {
@@ -36,7 +40,11 @@
            std::uint16_t Port, std::uint64_t Seed)
       : Context(Io), Ticks(Io), Engine(Seed),
         Calls(Io, {.Ip = Ip, .Port = Port},
-              [this](http::Exchange Call) { handle(std::move(Call)); }) {}
+              [this](http::Exchange Call) { handle(std::move(Call)); }) {
+    if (Seed % 2 == 0) {
+      FixedAgeMs = drawAge();
+    }
+  }
 
   absl::Status start() {
     if (absl::Status Bound = Calls.start(); !Bound.ok()) {
@@ -49,6 +57,10 @@
 private:
   static std::int64_t nowMs() { return monotonicUs() / 1000; }
 
+  std::int64_t drawAge() {
+    return static_cast<std::int64_t>(Engine() % (MaxListAgeMs + 1));
+  }
+
   void tick() {
     if (!Silent) {
       Store.advance(nowMs());
@@ -132,15 +144,43 @@
       Call.Respond(http::jsonResponse(409, R"({"reason":"busy"})"));
       return;
     }
+    const std::int64_t AgeMs = FixedAgeMs.value_or(drawAge());
     json::array Rows;
-    for (const auto &[Name, Row] : Machines) {
+    json::array Down;
+    for (const auto &[Name, States] : Machines) {
+      const json::object &Row = stateAt(States, nowMs() - AgeMs);
+      if (!Row.contains("id")) {
+        Down.push_back(Row.at("machine"));
+      }
       Rows.push_back(Row);
     }
+    writeLine("list", {{"age_ms", AgeMs}, {"down", std::move(Down)}});
     Call.Respond(http::jsonResponse(
         200, json::serialize(json::object{{"machines", std::move(Rows)},
                                           {"next_token", nullptr}})));
   }
 
+  /// By rising time. The first counts as the state of the time before, too.
+  using MachineStates = std::deque<std::pair<std::int64_t, json::object>>;
+
+  static const json::object &stateAt(const MachineStates &States,
+                                     std::int64_t AtMs) {
+    auto It = States.rbegin();
+    while (std::next(It) != States.rend() && It->first > AtMs) {
+      ++It;
+    }
+    return It->second;
+  }
+
+  void setMachine(const json::object &Row) {
+    MachineStates &States =
+        Machines[std::string(Row.at("machine").as_string())];
+    States.emplace_back(nowMs(), Row);
+    while (States.size() > 1 && States[1].first < nowMs() - MaxListAgeMs) {
+      States.pop_front();
+    }
+  }
+
   void steer(const std::string &Path, const http::Exchange &Call) {
     boost::system::error_code Error;
     json::value Document = json::parse(Call.Message.Body, Error);
@@ -151,7 +191,7 @@
       Store.put(std::string(Body.at("key").as_string()),
                 json::serialize(Body.at("value")));
     } else if (Path == "/soak/machine") {
-      Machines[std::string(Body.at("machine").as_string())] = Body;
+      setMachine(Body);
     } else if (Path == "/soak/cut") {
       const std::string Id(Body.at("id").as_string());
       if (Body.at("cut").as_bool()) {
@@ -176,7 +216,9 @@
   boost::asio::steady_timer Ticks;
   std::mt19937_64 Engine;
   MetadataStore Store;
-  std::map<std::string, json::object> Machines;
+  std::map<std::string, MachineStates> Machines;
+  /// Age of each list; without it, each has an age of its own.
+  std::optional<std::int64_t> FixedAgeMs;
   std::map<std::string, std::int64_t> SeenMs; // the last report, by worker
   std::map<std::string, std::string> Registered;
   std::set<std::string> CutOff; // workers that don't reach the store
