--- a/Source/Dispatch/DispatcherOrders.cpp
+++ b/Source/Dispatch/DispatcherOrders.cpp
@@ -124,13 +124,13 @@
   if (!Worker.HasReported && mayHoldEarlierLease(Worker, {})) {
     // The worker takes orders of the earlier leader until it has seen the token
     // of this term.
-    Expiry = std::max(Expiry, TermStart + MaxDeliveryTime + MaxOrderDelay +
+    Expiry = std::max(Expiry, latestExecution(TermStart + MaxDeliveryTime) +
                                   LongestLease);
   }
   if (!Former.SettledAt) {
     return Expiry;
   }
-  Instant FormerExpiry = *Former.SettledAt + MaxOrderDelay + LongestLease;
+  Instant FormerExpiry = latestExecution(*Former.SettledAt) + LongestLease;
   if (Worker.HasReported) {
     FormerExpiry =
         std::min(FormerExpiry, Worker.ClockReceivedAt +
@@ -146,15 +146,12 @@
     return Expiry;
   }
   // An incarnation that was started after the last report may have the run.
-  Instant LastOrderAt = Run.StartsSettledAt;
-  if (Run.UnansweredStarts > 0) {
-    LastOrderAt += MaxOrderDelay;
-  }
+  Instant LastOrderAt = Run.latestStart();
   if (Run.StartsSettledAt > Worker.LastReportAskedAt) {
     UnansweredLeases Leases = Worker.PresentLeases;
     Leases.add(Worker.FormerLeases);
     if (Leases.SettledAt) {
-      LastOrderAt = std::max(LastOrderAt, *Leases.SettledAt + MaxOrderDelay);
+      LastOrderAt = std::max(LastOrderAt, latestExecution(*Leases.SettledAt));
     }
   }
   return std::max(Expiry, LastOrderAt + leaseBound(Settings.MaxRunLease));
--- a/Source/Dispatch/FormerStarts.cpp
+++ b/Source/Dispatch/FormerStarts.cpp
@@ -47,7 +47,7 @@
   const bool IsInTouch = Worker.HasReported && !Worker.IsUnresponsive;
   std::erase_if(Worker.FormerStarts, [&](const FormerStart &Start) {
     const Instant LatestEnd =
-        Start.SettledAt + MaxOrderDelay + leaseBound(Settings.MaxRunLease);
+        latestExecution(Start.SettledAt) + leaseBound(Settings.MaxRunLease);
     return LatestEnd < Now && (IsInTouch || leaseExpiry(Worker) < Now);
   });
 }
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -51,6 +51,11 @@
 /// has ended, by whichever incarnation of the worker is up then. The platform
 /// documents 12 s; the rest covers late timers.
 inline constexpr Duration MaxOrderDelay = std::chrono::milliseconds(12'500);
+/// The latest time at which an order without a reply is carried out, if its
+/// call ended at \p SettledAt.
+constexpr Instant latestExecution(Instant SettledAt) {
+  return SettledAt + MaxOrderDelay;
+}
 /// Delay before the next renewal after one without a reply.
 inline constexpr Duration UnresponsiveRenewalPeriod =
     std::chrono::milliseconds(250);
@@ -137,6 +142,11 @@
     return Phase != RunPhase::Proposed && Phase != RunPhase::Ending &&
            (ReportedBy == 0 || UnansweredStarts > 0);
   }
+  /// The latest time at which any worker carries out a start order.
+  Instant latestStart() const {
+    return UnansweredStarts > 0 ? latestExecution(StartsSettledAt)
+                                : StartsSettledAt;
+  }
 };
 
 /// Orders without a reply that ask for leases. Each lengthens the leases of all
@@ -159,7 +169,7 @@
   }
   /// Whether one of them may still be carried out.
   bool mayBeExecutedAt(Instant Now) const {
-    return SettledAt && Now <= *SettledAt + MaxOrderDelay;
+    return SettledAt && Now <= latestExecution(*SettledAt);
   }
 };
 
@@ -347,12 +357,13 @@
   /// Whether the worker may still forget ends that were not seen, by a renewal
   /// for an earlier incarnation.
   bool mayForgetEnds(Instant Now) const {
-    return FormerAckSettledAt && Now <= *FormerAckSettledAt + MaxOrderDelay;
+    return FormerAckSettledAt && Now <= latestExecution(*FormerAckSettledAt);
   }
   /// Whether a later incarnation may still carry out orders without a reply.
   bool mayExecuteLate(Instant Now) const {
     return PresentLeases.mayBeExecutedAt(Now) || mayForgetEnds(Now) ||
-           (PresentAckSettledAt && Now <= *PresentAckSettledAt + MaxOrderDelay);
+           (PresentAckSettledAt &&
+            Now <= latestExecution(*PresentAckSettledAt));
   }
   /// Whether any run is on the worker, also one that is being stopped.
   bool isOccupied() const {
