dispatch: Host lists don't end runs that may still be started

Cause: two host lists without a worker ended its runs once the calls with their starts had ended. A start without a reply may be carried out 2 s to 12 s after its call, by an incarnation that no list has shown yet. Lists count from the latest time at which a start may be carried out (RunState::latestStart()). That a worker that stays away keeps its task for 12.5 s and the call, no longer, is checked by ATaskOfAWorkerThatIsNotListedWaitsForItsLastStartOnly. Cost: a task whose start met a worker that is gone for good waits that long.

--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -198,8 +198,8 @@
   const bool IsRestarted = Incarnation != NoIncarnation;
   for (const auto &[Task, Outcome] : Outcomes) {
     RunState &Run = Worker.Runs.at(Task);
-    // Host lists tell that no incarnation has the run if they are from after
-    // the calls with its start.
+    // Host lists tell that no incarnation has the run, nor will have it, if
+    // they are from after its last start.
     if (Run.mayBeTakenLater() &&
         (IsRestarted || Run.ListsWithoutHost < MinListsWithoutHost)) {
       keepForNextIncarnation(Run, Outcome);
@@ -308,7 +308,7 @@
       continue;
     }
     for (auto &[Task, Run] : Worker.Runs) {
-      Run.ListsWithoutHost += Now >= Run.StartsSettledAt ? 1 : 0;
+      Run.ListsWithoutHost += Now >= Run.latestStart() ? 1 : 0;
     }
     if (++Worker.ListsWithoutHost >= MinListsWithoutHost) {
       handleWorkerGone(Worker, NoIncarnation,
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -100,9 +100,10 @@
   unsigned StartAttempts = 0;
   /// Start orders without a reply. Each may still be carried out.
   unsigned UnansweredStarts = 0;
-  /// When the calls with its start orders have ended, and consecutive host
-  /// lists since then without a host for the worker.
+  /// When the calls with its start orders have ended.
   Instant StartsSettledAt{};
+  /// Consecutive host lists without a host for the worker, of those that show
+  /// the time after latestStart().
   unsigned ListsWithoutHost = 0;
   /// When the run was first known to be running.
   Instant StartedAt{};
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -409,8 +409,7 @@
 // none will: a start that was held for seconds reached the next incarnation,
 // and the task ran twice at the same time.
 BOOST_AUTO_TEST_CASE(
-    AStartThatIsHeldForSecondsOutlivesHostListsWithoutItsWorker,
-    *boost::unit_test::disabled()) {
+    AStartThatIsHeldForSecondsOutlivesHostListsWithoutItsWorker) {
   for (const Duration Delay : {3s, 8s, 12s}) {
     RestartSimulation Sim(2);
     Sim.HeldOrdersOutliveWorkers = true;
@@ -442,6 +441,29 @@
   }
 }
 
+// The task of a worker that stays away is not kept longer than a start may be
+// held.
+BOOST_AUTO_TEST_CASE(ATaskOfAWorkerThatIsNotListedWaitsForItsLastStartOnly) {
+  RestartSimulation Sim(2);
+  Sim.IsSilentWhileDown = true;
+  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+    if (std::holds_alternative<StartOrder>(Order) &&
+        Sim.find("w0")->isReachable() && Sim.find("w1")->isReachable()) {
+      Sim.find(workerOf(Order).WorkerId)->IsDown = true;
+    }
+    return std::nullopt;
+  };
+  Sim.submit("a", simpleJob(1));
+  while (Sim.find("w0")->isReachable() && Sim.find("w1")->isReachable()) {
+    Sim.run(5ms);
+  }
+  const std::string Target = Sim.find("w0")->isReachable() ? "w1" : "w0";
+  Sim.listHosts({Target}, 12s);
+  BOOST_TEST(Sim.countStarts("a") == 0);
+  Sim.listHosts({Target}, 6s);
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
+
 // Host lists from before a start that a restarted worker had taken, but whose
 // replies were lost, ended the run while it went on behind a cut.
 BOOST_AUTO_TEST_CASE(HostListsFromBeforeAStartDoNotEndItsRun,
