--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -18,13 +18,18 @@
 /// Consecutive host lists without a worker after which the worker counts as
 /// ended. A single list may have been taken before the worker started.
 constexpr unsigned MinListsWithoutHost = 2;
-/// A host list shows a worker this long after its start at the latest.
+/// A host list shows the workers as they were this long ago at the earliest.
 constexpr Duration MaxHostListLag = std::chrono::seconds(2);
 /// The incarnation of a worker that isn't up; later than all others.
 constexpr std::int64_t NoIncarnation = std::numeric_limits<std::int64_t>::max();
 /// A worker that so many host lists still show is out of reach, but not gone.
 constexpr unsigned MaxListsWhileUnresponsive = 4;
 
+/// Whether a host list that is received now was taken after \p Then.
+bool showsTimeAfter(Instant Then, Instant Now) {
+  return Now - Then > MaxHostListLag;
+}
+
 } // namespace
 
 void Dispatcher::setWorkers(
@@ -198,8 +203,8 @@
   const bool IsRestarted = Incarnation != NoIncarnation;
   for (const auto &[Task, Outcome] : Outcomes) {
     RunState &Run = Worker.Runs.at(Task);
-    // Host lists tell that no incarnation has the run if they are from after
-    // the calls with its start.
+    // Host lists tell that no incarnation has the run, nor will have it, if
+    // they are from after its last start.
     if (Run.mayBeTakenLater() &&
         (IsRestarted || Run.ListsWithoutHost < MinListsWithoutHost)) {
       keepForNextIncarnation(Run, Outcome);
@@ -308,7 +313,7 @@
       continue;
     }
     for (auto &[Task, Run] : Worker.Runs) {
-      Run.ListsWithoutHost += Now >= Run.StartsSettledAt ? 1 : 0;
+      Run.ListsWithoutHost += showsTimeAfter(Run.latestStart(), Now) ? 1 : 0;
     }
     if (++Worker.ListsWithoutHost >= MinListsWithoutHost) {
       handleWorkerGone(Worker, NoIncarnation,
