soak: Held starts more often meet a worker that lists show as down

Calls are held for up to 1.1 s around the cut of a single worker, and the worker that is started again meanwhile is down for up to 3 s, as host lists count only in pairs.

--- a/Tests/Soak/Disruptions.cpp
+++ b/Tests/Soak/Disruptions.cpp
@@ -146,16 +146,16 @@
   }
 
   void cutCallsOnTheirWay(milliseconds At, unsigned Worker) {
-    const int CutAfter = Single.between(20, 300);
+    const int CutAfter = Single.between(100, 600);
     const int Length = Single.between(2000, 7000);
     const milliseconds CutAt = At + milliseconds(CutAfter);
-    add(DisruptionKind::HoldCalls, At, CutAfter + Single.between(10, 200),
+    add(DisruptionKind::HoldCalls, At, CutAfter + Single.between(100, 500),
         Worker);
     add(DisruptionKind::CutWorker, CutAt, Length, Worker);
     if (Single.chance(70)) { // another incarnation gets the calls
       add(DisruptionKind::RestartWorker,
           CutAt + milliseconds(Single.between(50, Length - 100)),
-          Single.between(10, 1500), Worker);
+          Single.between(100, 3000), Worker);
     }
   }
 
