dispatch: A refusal is the one of the incarnation that has refused

Cause: a task whose start may still be carried out waits until its worker has refused it. Once lists or a host order had shown the worker as gone, nothing was waited for, although the next incarnation has refused nothing. The task waits until no start can be carried out any more, or the next incarnation has refused it. Evidence: ARefusedStartIsWaitedForOnceItsWorkerIsGone failed before (overlapping runs, a start after the task had completed) and passes.

--- a/Source/Dispatch/FormerStarts.cpp
+++ b/Source/Dispatch/FormerStarts.cpp
@@ -122,8 +122,11 @@
 
 bool Dispatcher::isRefusalAwaited(const WorkerState &Worker,
                                   const FormerStart &Start) const {
-  if (Start.RefusedBy == Worker.Record.Instance.Incarnation ||
-      Worker.HasEnded) {
+  const bool IsSettled =
+      Worker.HasEnded
+          ? Time.now() > latestExecution(Start.SettledAt)
+          : Start.RefusedBy == Worker.Record.Instance.Incarnation;
+  if (IsSettled) {
     return false;
   }
   const jobs::Job *Job = Table->find(Start.Task.Job);
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -483,6 +483,27 @@
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
 }
 
+// A start that the living incarnation had refused counted as refused once host
+// lists had shown the worker as gone, and reached the next incarnation.
+BOOST_AUTO_TEST_CASE(ARefusedStartIsWaitedForOnceItsWorkerIsGone) {
+  RestartSimulation Sim(2);
+  FakeWorker &Worker = Sim.holdFirstRun("a", 11s);
+  const std::string Id = Worker.Record.Instance.Id;
+  Sim.JobDispatcher->setCordons(
+      {{"w0", Cordon::OrderPending}, {"w1", Cordon::OrderPending}});
+  Sim.run(3s);
+  BOOST_REQUIRE(Sim.JobDispatcher->workers().at(Id).Runs.empty());
+  BOOST_REQUIRE(!Sim.JobDispatcher->workers().at(Id).FormerStarts.empty());
+  Worker.HasCrashed = true;
+  Sim.listHosts({Id}, 4s);
+  Sim.JobDispatcher->setCordons({});
+  Sim.listHosts({Id}, 3900ms);
+  Worker.crash(Sim.Time.now(), Sim.Observed);
+  Sim.listHosts({}, 70s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
+
 // Host lists from before a start that a restarted worker had taken, but whose
 // replies were lost, ended the run while it went on behind a cut.
 BOOST_AUTO_TEST_CASE(HostListsFromBeforeAStartDoNotEndItsRun) {
