--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -163,7 +163,8 @@
     if (Run.Phase == RunPhase::Ending || Run.Phase == RunPhase::Proposed) {
       continue;
     }
-    if (MayHaveCrashed && Run.mayBeTakenLater()) {
+    if (Run.mayBeTakenLater() &&
+        (MayHaveCrashed || Time.now() <= Run.latestStart())) {
       keepForNextIncarnation(Run, RunOutcome::Lost);
       logKeptRun(Worker, Task, Run);
       continue;
@@ -305,11 +306,10 @@
       Worker.WasListed = true;
       continue;
     }
-    // Lists may lag behind the start of the incarnation.
-    const bool IsListable = Worker.WasListed ||
-                            Worker.IncarnationLearntAt == Instant() ||
-                            Now - Worker.IncarnationLearntAt > MaxHostListLag;
-    if (!IsListable || (Worker.HasReported && !Worker.IsUnresponsive)) {
+    // An older list says nothing of this incarnation, whose ID is that of the
+    // former one.
+    if (!showsTimeAfter(Worker.IncarnationLearntAt, Now) ||
+        (Worker.HasReported && !Worker.IsUnresponsive)) {
       continue;
     }
     for (auto &[Task, Run] : Worker.Runs) {
