soak: Host lists are older, and starts are held while their worker is not heard of

Calls are held for up to 2 s of the cut; the fixed age of a play is 0.95 s to 1.9 s; some calls end at once.

--- a/Tests/Soak/Disruptions.cpp
+++ b/Tests/Soak/Disruptions.cpp
@@ -141,6 +141,9 @@
     if (Single.chance(50)) { // a start is carried out, and nobody learns of it
       add(DisruptionKind::LoseAnswers, Up, CutAfter, Worker);
     }
+    if (Single.chance(50)) { // the calls end at once
+      add(DisruptionKind::ResetWorker, Up + milliseconds(CutAfter), 0, Worker);
+    }
     add(DisruptionKind::CutWorker, Up + milliseconds(CutAfter),
         Single.between(2000, 7000), Worker);
   }
@@ -149,7 +152,7 @@
     const int CutAfter = Single.between(100, 600);
     const int Length = Single.between(2000, 7000);
     const milliseconds CutAt = At + milliseconds(CutAfter);
-    add(DisruptionKind::HoldCalls, At, CutAfter + Single.between(100, 500),
+    add(DisruptionKind::HoldCalls, At, CutAfter + Single.between(300, 2000),
         Worker);
     add(DisruptionKind::CutWorker, CutAt, Length, Worker);
     if (Single.chance(70)) { // another incarnation gets the calls
--- a/Tests/Soak/RunPlatform.cpp
+++ b/Tests/Soak/RunPlatform.cpp
@@ -30,8 +30,8 @@
 constexpr milliseconds TickLength(10);
 /// Three liveness report intervals of silence remove a registration.
 constexpr std::int64_t RegistrationMs = 4500;
-/// A list of machines may be that old when it is read.
-constexpr std::int64_t MaxListAgeMs = 2000;
+/// A list of machines is 2 s old at most when its reader has it.
+constexpr std::int64_t MaxListAgeMs = 1900;
 constexpr int ExitUnusable = 2;
 
 class Platform {
@@ -42,7 +42,7 @@
         Calls(Io, {.Ip = Ip, .Port = Port},
               [this](http::Exchange Call) { handle(std::move(Call)); }) {
     if (Seed % 2 == 0) {
-      FixedAgeMs = drawAge();
+      FixedAgeMs = MaxListAgeMs - drawAge() / 2;
     }
   }
 
