dispatch: A report from before a start doesn't end its run

What callers saw: a task ran on two workers of one pool at the same time; both orders were carried out at once. Cause: a restarted worker answers a renewal, then takes a start that was meant for its former incarnation. The reply to the start overtakes the report, which is the first to show the restart. The run is kept for the next incarnation, and the time since when it was known to run is cleared; the same report then ended it as missing. For a run that is kept, the report must have been asked for after the start's last answer (StartsSettledAt). Evidence: AReportFromBeforeAStartDoesNotEndItsRun failed before (two starts, overlapping) and passes.

--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -339,8 +339,11 @@
     if (ReportedTasks.contains(Task)) {
       continue;
     }
+    // A report may be older than the reply to the start.
+    const Instant RunningSince =
+        Run.StartedAt == Instant() ? Run.StartsSettledAt : Run.StartedAt;
     const bool HasEnded =
-        Run.Phase == RunPhase::Running && Run.StartedAt < SentAt;
+        Run.Phase == RunPhase::Running && RunningSince < SentAt;
     const bool CannotStart =
         Run.Phase == RunPhase::Uncertain &&
         (Run.FromEarlierTerm ||
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -667,6 +667,34 @@
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
 }
 
+// A report from before a start was read after the reply to the start, and was
+// the first to show the restart: it ended the run as missing, and its task ran
+// twice at the same time.
+BOOST_AUTO_TEST_CASE(AReportFromBeforeAStartDoesNotEndItsRun) {
+  RestartSimulation Sim(2);
+  Sim.restartAll();
+  const Instant AskedAt = Sim.Time.now();
+  std::map<std::string, RenewReport> SlowReports;
+  for (const FakeWorker &Worker : Sim.Workers) {
+    SlowReports[Worker.Record.Instance.Id] = Worker.report(AskedAt);
+  }
+  Sim.submit("a", simpleJob(1));
+  while (Sim.countStarts("a") == 0) {
+    Sim.run(5ms);
+  }
+  Sim.run(5ms);
+  const std::string Id = Sim.workerOfRun().Record.Instance.Id;
+  const WorkerState &Worker = Sim.JobDispatcher->workers().at(Id);
+  BOOST_REQUIRE((Worker.Runs.begin()->second.Phase == RunPhase::Running));
+  BOOST_REQUIRE(Worker.Runs.begin()->second.ReportedBy == 0);
+  Sim.JobDispatcher->handleRenewReply(Id, AskedAt, OrderOutcome::Done,
+                                      SlowReports.at(Id));
+  Sim.run(70s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
+}
+
 // Host lists from before the restart ended the runs of the next incarnation.
 BOOST_AUTO_TEST_CASE(HostListsFromBeforeARestartDoNotEndTheNextIncarnation) {
   RestartSimulation Sim(2);
