dispatch: Each earlier incarnation with a higher number is remembered

What callers saw: nothing yet; found by asking which registrations may be older than what they end. Cause: on a host whose clock was set back, a restart brings a lower number. Only the last such incarnation was remembered. After two restarts before the next registration was read, the old one of the first incarnation counted as a restart, and ended the runs that the last one had reported; they went on. All earlier incarnations of the term with higher numbers are remembered. Evidence: AnOldRegistrationDoesNotEndRunsAfterTwoRestarts failed before, with a lower and a higher second number (two starts, overlapping), and passes.

--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -72,7 +72,7 @@
     Worker.HostCordon = CordonIt->second;
   }
   if (Record.Instance.Incarnation < Worker.Record.Instance.Incarnation ||
-      Record.Instance.Incarnation == Worker.SupersededIncarnation) {
+      Worker.SupersededIncarnations.contains(Record.Instance.Incarnation)) {
     return; // the worker has already reported a later incarnation
   }
   if (Record.Instance.Incarnation > Worker.Record.Instance.Incarnation) {
@@ -103,10 +103,13 @@
          {"has_unanswered_leases", Worker.FormerLeases.mayBeExecutedAt(Now)},
          {"may_forget_ends", Worker.mayForgetEnds(Now)}});
   }
+  Worker.SupersededIncarnations.insert(Worker.Record.Instance.Incarnation);
+  Worker.SupersededIncarnations.erase(
+      Worker.SupersededIncarnations.begin(),
+      Worker.SupersededIncarnations.lower_bound(Incarnation));
   Worker.Record.Instance.Incarnation = Incarnation;
   Worker.IncarnationLearntAt = Now;
   forgetRefusals(Worker);
-  Worker.SupersededIncarnation = 0;
   Worker.HasReported = false;
   Worker.HasEnded = false;
   // The first report shows which of the remaining runs the worker has.
@@ -148,12 +151,11 @@
   // An earlier incarnation can't reply any more once a later one is known, so
   // the clock was set back before the worker was started again.
   const bool HasLowerNumber = Incarnation < Known;
-  if (Incarnation == Worker.SupersededIncarnation ||
+  if (Worker.SupersededIncarnations.contains(Incarnation) ||
       (HasLowerNumber && SentAt <= Worker.IncarnationLearntAt)) {
     return false;
   }
   setWorkerInstance(Worker, Incarnation);
-  Worker.SupersededIncarnation = HasLowerNumber ? Known : 0;
   return true;
 }
 
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -10,6 +10,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -244,9 +245,9 @@
   Instant IncarnationLearntAt{};
   /// An earlier incarnation was known in this term.
   bool HasRestarted = false;
-  /// The incarnation before, if its number is higher: the clock of the host was
-  /// set back since. Its registration and replies may still arrive. 0 for none.
-  std::int64_t SupersededIncarnation = 0;
+  /// Earlier incarnations whose numbers are higher: the clock of the host was
+  /// set back since. Their registrations and replies may still arrive.
+  std::set<std::int64_t> SupersededIncarnations;
   /// This incarnation has ended as far as is known: its host was moved or
   /// maintained, or no host runs it any more. Its registration may last longer.
   bool HasEnded = false;
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -695,6 +695,36 @@
   BOOST_TEST((Sim.job("a").Record.State == jobs::JobState::Completed));
 }
 
+// After two restarts in a row on a host whose clock had been set back, the old
+// registration of the first incarnation counted as a restart, ended a run that
+// the last one had reported, and its task ran twice at the same time.
+BOOST_AUTO_TEST_CASE(AnOldRegistrationDoesNotEndRunsAfterTwoRestarts) {
+  for (const std::int64_t SecondSetBack : {4000, 6000}) {
+    RestartSimulation Sim(2);
+    FakeWorker &Worker = Sim.Workers.front();
+    Worker.crash(Sim.Time.now(), Sim.Observed);
+    Sim.registerAll();
+    Sim.run(10s);
+    const std::int64_t Registered = Worker.Record.Instance.Incarnation;
+    for (const std::int64_t SetBack : {std::int64_t(5000), SecondSetBack}) {
+      Worker.crash(Sim.Time.now(), Sim.Observed);
+      Worker.Record.Instance.Incarnation = Registered - SetBack;
+      Sim.run(2500ms); // longer than the time between renewals of idle workers
+    }
+    Sim.JobDispatcher->setCordons({{"w1", Cordon::Draining}});
+    Sim.submit("a", simpleJob(1));
+    Sim.run(500ms);
+    BOOST_REQUIRE(!Worker.runs().empty());
+    Sim.JobDispatcher->setCordons({});
+    Sim.RegistrationsChanged = true;
+    Sim.run(70s);
+    BOOST_TEST_CONTEXT("set back by " << SecondSetBack << " ms") {
+      BOOST_TEST(holds(Sim));
+      BOOST_TEST(Sim.countStarts("a") == 1);
+    }
+  }
+}
+
 // Host lists from before the restart ended the runs of the next incarnation.
 BOOST_AUTO_TEST_CASE(HostListsFromBeforeARestartDoNotEndTheNextIncarnation) {
   RestartSimulation Sim(2);
