http: A call is not sent after its deadline

What callers saw: nothing yet; found by asking what may still be on its way when a leader was paused between recording a start and sending it. Cause: a call that waits for a connection is given up by a timer. After a pause of the process the completed connection is handled before that timer, and the call was sent, however late. The start of a leader whose lease had run out meanwhile reached a worker that had been started again and knew no token; and the dispatcher counts 12.5 s from the end of the call. A call that gets its connection after its deadline ends as not sent. Evidence: ACallIsNotSentAfterItsDeadline failed before (the paused call was sent and ended as DeadlineExceeded instead of Unavailable) and passes.

--- a/Source/Http/Client.cpp
+++ b/Source/Http/Client.cpp
@@ -225,11 +225,22 @@
           }
           Self->moveAlarm(For, For->Deadline);
           Self->carry(For, For->Carrier);
+          Self->pump(*For->Owner);
         });
   }
 
   void carry(const std::shared_ptr<Call> &One,
              std::shared_ptr<ClientConnection> Connection) {
+    // The process may have been paused since the call was made.
+    const Time Now = std::chrono::steady_clock::now();
+    if (Now >= One->Deadline) {
+      One->Carrier.reset();
+      Connection->IdleSince = Now;
+      One->Owner->Idle.push_back(std::move(Connection));
+      startSweep();
+      fail(One, "no connection in time");
+      return;
+    }
     One->Carrier = std::move(Connection);
     One->Started = true;
     std::string Head =
--- a/Tests/Platform/HttpTest.cpp
+++ b/Tests/Platform/HttpTest.cpp
@@ -222,6 +222,33 @@
           .Status));
 }
 
+// A leader that was paused while it connected sent a start after its lease.
+BOOST_AUTO_TEST_CASE(ACallIsNotSentAfterItsDeadline) {
+  EchoServer Echo;
+  boost::asio::io_context Context;
+  http::ClientOptions Options;
+  Options.MaxConnectionsPerAddress = 1;
+  http::Client Client(Context, Options);
+  std::vector<absl::StatusCode> Codes;
+  for (const Duration Timeout : {Duration(200ms), Duration(200ms), Ample}) {
+    Client.call(
+        "127.0.0.1", Echo.port(), post("/", ""), Timeout,
+        [&](const http::Outcome &Got) { Codes.push_back(Got.Status.code()); });
+  }
+  for (unsigned Begun = 0; Begun < 3; ++Begun) {
+    Context.poll_one(); // no connection is up yet
+  }
+  BOOST_REQUIRE(Codes.empty());
+  std::this_thread::sleep_for(400ms); // the process is paused
+  while (Codes.size() < 3) {
+    Context.run_one();
+  }
+  const std::vector<absl::StatusCode> Expected = {
+      absl::StatusCode::kUnavailable, absl::StatusCode::kUnavailable,
+      absl::StatusCode::kOk};
+  BOOST_TEST((Codes == Expected));
+}
+
 BOOST_AUTO_TEST_CASE(ACallThatFindsTheQueueFullIsUnavailable) {
   EchoServer Echo;
   http::ClientOptions Options;
