dispatch: Clocks in replies show which incarnation took a start

A worker that starts again under its ID takes starts that were meant for its former incarnation, and its reply was taken for one of the former. If it crashed before its first report, the crash counted in full against the task, although the process was milliseconds old.

Cause: replies to starts and stops carry the worker's clock, which starts with its process; the adapter dropped it.

The clock is passed on as part of OrderReply. In batches between entries it is an item of its own behind the replies: an earlier version passes over it, and where it is missing the clock is unknown. A clock below what the known incarnation can have at the time of the order, less the slack for slow clocks, shows a later one: the worker is asked at once, and a crash before its report is in doubt.

With the evidence taken out of judgeCrash(), ACrashBeforeTheAnsweringIncarnationReportsIsInDoubt fails in the same way; without the slack, ASlowClockIsNoSignOfARestart.

--- a/Source/Control/CarrierPool.cpp
+++ b/Source/Control/CarrierPool.cpp
@@ -11,6 +11,7 @@
 namespace balsamlatch::control {
 
 using dispatch::OrderOutcome;
+using dispatch::OrderReply;
 using dispatch::RenewReport;
 using dispatch::WorkerOrder;
 
@@ -48,7 +49,7 @@
 
 auto ignoringReport(WorkerPort::ReplyCallback Callback) {
   return [Callback = std::move(Callback)](
-             OrderOutcome Outcome, const RenewReport &) { Callback(Outcome); };
+             const OrderReply &Reply, const RenewReport &) { Callback(Reply); };
 }
 
 /// The carrier of a worker is the one with the highest rank for it, so that the
@@ -196,7 +197,10 @@
 
 void CarrierPool::renew(const dispatch::RenewOrder &Order,
                         RenewCallback Callback) {
-  send(Order, std::move(Callback));
+  send(Order, [Callback = std::move(Callback)](const OrderReply &Reply,
+                                               const RenewReport &Report) {
+    Callback(Reply.Outcome, Report);
+  });
 }
 
 void CarrierPool::start(const dispatch::StartOrder &Order,
@@ -241,31 +245,35 @@
     /// Notes whether the worker can be reached from here.
     auto completion(const std::string &WorkerId) const {
       return [&Self = Pool, WorkerId, Done = std::move(Callback)](
-                 OrderOutcome Outcome, const RenewReport &Report) {
-        if (Outcome == OrderOutcome::Unknown ||
-            Outcome == OrderOutcome::Unhealthy) {
+                 const OrderReply &Reply, const RenewReport &Report) {
+        if (Reply.Outcome == OrderOutcome::Unknown ||
+            Reply.Outcome == OrderOutcome::Unhealthy) {
           Self.DirectUntil.erase(WorkerId);
         }
-        Done(Outcome, Report);
+        Done(Reply, Report);
       };
     }
     void operator()(const dispatch::RenewOrder &Renew) const {
-      Pool.DirectWorkers.renew(Renew, completion(Renew.Worker.WorkerId));
+      Pool.DirectWorkers.renew(
+          Renew, [Done = completion(Renew.Worker.WorkerId)](
+                     OrderOutcome Outcome, const RenewReport &Report) {
+            Done({Outcome}, Report);
+          });
     }
     void operator()(const dispatch::StartOrder &Start) const {
       Pool.DirectWorkers.start(
           Start, [Done = completion(Start.Worker.WorkerId)](
-                     OrderOutcome Outcome) { Done(Outcome, {}); });
+                     const OrderReply &Reply) { Done(Reply, {}); });
     }
     void operator()(const dispatch::StopOrder &Stop) const {
-      Pool.DirectWorkers.stop(Stop,
-                              [Done = completion(Stop.Worker.WorkerId)](
-                                  OrderOutcome Outcome) { Done(Outcome, {}); });
+      Pool.DirectWorkers.stop(
+          Stop, [Done = completion(Stop.Worker.WorkerId)](
+                    const OrderReply &Reply) { Done(Reply, {}); });
     }
     void operator()(const dispatch::PaceOrder &Pace) const {
-      Pool.DirectWorkers.pace(Pace,
-                              [Done = completion(Pace.Worker.WorkerId)](
-                                  OrderOutcome Outcome) { Done(Outcome, {}); });
+      Pool.DirectWorkers.pace(
+          Pace, [Done = completion(Pace.Worker.WorkerId)](
+                    const OrderReply &Reply) { Done(Reply, {}); });
     }
   };
   std::visit(Visitor{*this, Callback}, Order);
@@ -350,13 +358,13 @@
     greetCandidates();
   }
   for (const CarriedReply &Reply : Batch.Replies) {
-    finish(Reply.Number, Reply.Outcome,
+    finish(Reply.Number, {Reply.Outcome, Reply.Clock},
            Reply.Report ? *Reply.Report : RenewReport());
   }
   notifyCallsPending();
 }
 
-void CarrierPool::finish(std::uint64_t OrderNumber, OrderOutcome Outcome,
+void CarrierPool::finish(std::uint64_t OrderNumber, const OrderReply &Reply,
                          const RenewReport &Report) {
   const auto It = OpenOrders.find(OrderNumber);
   if (It == OpenOrders.end() || It->second.CallNumber == 0) {
@@ -365,11 +373,12 @@
   const OpenOrder Finished = std::move(It->second);
   OpenOrders.erase(It);
   --Carriers.at(Finished.CarrierName).OpenOrders;
-  if (Outcome == OrderOutcome::Unknown || Outcome == OrderOutcome::Unhealthy) {
+  if (Reply.Outcome == OrderOutcome::Unknown ||
+      Reply.Outcome == OrderOutcome::Unhealthy) {
     DirectUntil[dispatch::workerOf(Finished.Order).WorkerId] =
         Time.now() + DirectPeriod;
   }
-  Finished.Callback(Outcome, Report);
+  Finished.Callback(Reply, Report);
 }
 
 void CarrierPool::handleFailure(std::uint64_t CallNumber, bool WasNotSent,
@@ -412,13 +421,13 @@
   for (OpenOrder &Each : Unsent) {
     // This process may have been paused since the order was decided on.
     if (Time.now() >= Each.Deadline) {
-      Each.Callback(OrderOutcome::Unhealthy, {});
+      Each.Callback({OrderOutcome::Unhealthy}, {});
     } else {
       sendDirectly(Each.Order, std::move(Each.Callback));
     }
   }
   for (const OpenOrder &Each : Unanswered) {
-    Each.Callback(OrderOutcome::Unknown, {});
+    Each.Callback({OrderOutcome::Unknown}, {});
   }
 }
 
@@ -454,8 +463,8 @@
   greetCandidates();
   for (const OpenOrder &Each : Unanswered) {
     // An order that is still queued was not sent and won't be.
-    Each.Callback(Each.CallNumber == 0 ? OrderOutcome::Unhealthy
-                                       : OrderOutcome::Unknown,
+    Each.Callback({Each.CallNumber == 0 ? OrderOutcome::Unhealthy
+                                        : OrderOutcome::Unknown},
                   {});
   }
 }
--- a/Source/Control/JobControllerTicks.cpp
+++ b/Source/Control/JobControllerTicks.cpp
@@ -129,29 +129,30 @@
       });
     }
     void operator()(const dispatch::StartOrder &Start) const {
-      Controller.Workers.start(Start, [&Self = Controller, CallTerm = Term,
-                                       Start](dispatch::OrderOutcome Outcome) {
-        if (CallTerm == Self.TermNumber) {
-          Self.noteOutcome(Outcome);
-          Self.JobDispatcher.handleStartReply(Start, Outcome);
-        }
-      });
+      Controller.Workers.start(
+          Start, [&Self = Controller, CallTerm = Term,
+                  Start](const dispatch::OrderReply &Reply) {
+            if (CallTerm == Self.TermNumber) {
+              Self.noteOutcome(Reply.Outcome);
+              Self.JobDispatcher.handleStartReply(Start, Reply);
+            }
+          });
     }
     void operator()(const dispatch::StopOrder &Stop) const {
       Controller.Workers.stop(Stop, [&Self = Controller, CallTerm = Term,
-                                     Stop](dispatch::OrderOutcome Outcome) {
+                                     Stop](const dispatch::OrderReply &Reply) {
         if (CallTerm == Self.TermNumber) {
-          Self.noteOutcome(Outcome);
-          Self.JobDispatcher.handleStopReply(Stop, Outcome);
+          Self.noteOutcome(Reply.Outcome);
+          Self.JobDispatcher.handleStopReply(Stop, Reply.Outcome);
         }
       });
     }
     void operator()(const dispatch::PaceOrder &Pace) const {
       Controller.Workers.pace(Pace, [&Self = Controller, CallTerm = Term,
-                                     Pace](dispatch::OrderOutcome Outcome) {
+                                     Pace](const dispatch::OrderReply &Reply) {
         if (CallTerm == Self.TermNumber) {
-          Self.noteOutcome(Outcome);
-          Self.JobDispatcher.handlePaceReply(Pace, Outcome);
+          Self.noteOutcome(Reply.Outcome);
+          Self.JobDispatcher.handlePaceReply(Pace, Reply.Outcome);
         }
       });
     }
@@ -164,7 +165,7 @@
                {"run", Start->Run},
                {"worker", Start->Worker.WorkerId},
                {"why", "the lease has run out"}});
-    JobDispatcher.handleStartReply(*Start, dispatch::OrderOutcome::Unhealthy);
+    JobDispatcher.handleStartReply(*Start, {dispatch::OrderOutcome::Unhealthy});
     return;
   }
   Load.noteOrder(Order);
--- a/Source/Control/OrderBatch.cpp
+++ b/Source/Control/OrderBatch.cpp
@@ -8,6 +8,7 @@
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
+#include <algorithm>
 #include <array>
 #include <boost/json.hpp>
 #include <fmt/format.h>
@@ -170,6 +171,23 @@
   return Report;
 }
 
+/// The clocks are in the order of their replies.
+void readClocks(const json::value &Value, std::vector<CarriedReply> &Replies) {
+  auto ReplyIt = Replies.begin();
+  for (const json::value &Row : Value.as_array()) {
+    JsonArrayReader Fields(Row);
+    const auto Number = Fields.number<std::uint64_t>();
+    ReplyIt = std::find_if(
+        ReplyIt, Replies.end(),
+        [Number](const CarriedReply &Reply) { return Reply.Number == Number; });
+    if (ReplyIt == Replies.end()) {
+      throw std::invalid_argument(
+          fmt::format("no reply has number {}", Number));
+    }
+    ReplyIt->Clock = readWorkerClock(Fields);
+  }
+}
+
 } // namespace
 
 std::string encodeOrder(const CarriedOrder &Item) {
@@ -223,6 +241,9 @@
 std::string encodeReplyBatch(const ReplyBatch &Batch) {
   json::array Replies;
   Replies.reserve(Batch.Replies.size());
+  // An earlier version takes a third item of a reply for a report, and passes
+  // over further items of the batch.
+  json::array Clocks;
   for (const CarriedReply &Reply : Batch.Replies) {
     json::array &Items = Replies.emplace_back(json::array()).as_array();
     Items.emplace_back(Reply.Number);
@@ -230,11 +251,14 @@
     if (Reply.Report) {
       Items.emplace_back(reportArray(*Reply.Report));
     }
+    if (Reply.Clock) {
+      Clocks.emplace_back(json::array{Reply.Number, Reply.Clock->count()});
+    }
   }
-  return json::serialize(json::array{static_cast<int>(Batch.Outcome),
-                                     Batch.CarrierProcess,
-                                     Batch.Clock.time_since_epoch().count(),
-                                     Batch.IsLeaving, std::move(Replies)});
+  return json::serialize(
+      json::array{static_cast<int>(Batch.Outcome), Batch.CarrierProcess,
+                  Batch.Clock.time_since_epoch().count(), Batch.IsLeaving,
+                  std::move(Replies), std::move(Clocks)});
 }
 
 absl::StatusOr<ReplyBatch> decodeReplyBatch(std::string_view Text) {
@@ -256,6 +280,9 @@
         Reply.Report = readReport(Items.next());
       }
     }
+    if (!Reader.atEnd()) {
+      readClocks(Reader.next(), Batch.Replies);
+    }
     return Batch;
   } catch (const std::exception &Error) {
     return absl::InvalidArgumentError(
--- a/Source/Control/OrderCarrier.cpp
+++ b/Source/Control/OrderCarrier.cpp
@@ -81,8 +81,9 @@
 
     WorkerPort::ReplyCallback completion() const {
       return [&Carrier = Self, Session = Self.Current,
-              Number = Number](OrderOutcome Outcome) {
-        Carrier.addReply(*Session, {Number, Outcome, std::nullopt});
+              Number = Number](const dispatch::OrderReply &Reply) {
+        Carrier.addReply(*Session,
+                         {Number, Reply.Outcome, std::nullopt, Reply.Clock});
       };
     }
     void operator()(const dispatch::RenewOrder &Order) const {
--- a/Source/Control/include/balsamlatch/Control/CarrierPool.h
+++ b/Source/Control/include/balsamlatch/Control/CarrierPool.h
@@ -109,7 +109,7 @@
     std::vector<QueuedOrder> Queue;
   };
 
-  using AnyCallback = std::function<void(dispatch::OrderOutcome,
+  using AnyCallback = std::function<void(const dispatch::OrderReply &,
                                          const dispatch::RenewReport &)>;
 
   struct OpenOrder {
@@ -133,7 +133,7 @@
   Carrier *findCarrier(const std::string &WorkerId);
   Carrier *chooseCarrier(const std::string &WorkerId);
   CarrierCall makeCall(Carrier &To);
-  void finish(std::uint64_t OrderNumber, dispatch::OrderOutcome Outcome,
+  void finish(std::uint64_t OrderNumber, const dispatch::OrderReply &Reply,
               const dispatch::RenewReport &Report);
   /// Stops using the carrier. Its orders end as Unknown, except for those that
   /// were not sent or were sent in \p UnsentCall, which are sent directly.
--- a/Source/Control/include/balsamlatch/Control/OrderBatch.h
+++ b/Source/Control/include/balsamlatch/Control/OrderBatch.h
@@ -47,6 +47,9 @@
   dispatch::OrderOutcome Outcome = dispatch::OrderOutcome::Unknown;
   /// Set for a renewal that was answered.
   std::optional<dispatch::RenewReport> Report;
+  /// The time on the worker's clock in the reply to another order, if it told
+  /// that.
+  std::optional<dispatch::WorkerClock> Clock;
 
   auto operator<=>(const CarriedReply &) const = default;
 };
--- a/Source/Control/include/balsamlatch/Control/Ports.h
+++ b/Source/Control/include/balsamlatch/Control/Ports.h
@@ -16,7 +16,7 @@
 /// Sends orders to workers. Callbacks run once, on the caller's event loop.
 class WorkerPort {
 public:
-  using ReplyCallback = std::function<void(dispatch::OrderOutcome)>;
+  using ReplyCallback = std::function<void(dispatch::OrderReply)>;
   using RenewCallback =
       std::function<void(dispatch::OrderOutcome, dispatch::RenewReport)>;
 
--- a/Source/Dispatch/CrashEvidence.cpp
+++ b/Source/Dispatch/CrashEvidence.cpp
@@ -99,7 +99,9 @@
   const bool WasSeenToRestart =
       Worker.HasRestarted &&
       Run.StartedAt - Worker.IncarnationLearntAt < MinStableAge;
-  if (isYoungAt(Starter, StartedAt) || WasSeenToRestart ||
+  const bool IsStarterUnknown =
+      Run.ReportedBy == 0 && Run.IsOnUnknownIncarnation;
+  if (IsStarterUnknown || isYoungAt(Starter, StartedAt) || WasSeenToRestart ||
       fellSilentLater(Worker, Run)) {
     return RunOutcome::WorkerCrashedUnconfirmed;
   }
--- a/Source/Dispatch/DispatcherReports.cpp
+++ b/Source/Dispatch/DispatcherReports.cpp
@@ -24,6 +24,8 @@
 constexpr int StalledPartOfEstimate = 10;
 constexpr int StalledPercentTimes = 4;
 constexpr unsigned MaxStallDoublings = 10;
+/// Clocks are told in whole milliseconds, and so are times between them.
+constexpr WorkerClock ClockRounding = std::chrono::milliseconds(2);
 /// Start orders that are sent for one run while none is answered.
 constexpr unsigned MaxStartAttempts = 3;
 /// Time without new work for a worker that refused a run for lack of resources,
@@ -354,8 +356,23 @@
   }
 }
 
+bool Dispatcher::isAnsweredByLater(const WorkerState &Worker,
+                                   const RunState &Run,
+                                   const OrderReply &Reply) const {
+  if (!Reply.Clock || !Worker.HasReported) {
+    return false;
+  }
+  // The reply may be one to the first order for the run.
+  const auto SinceReport = std::chrono::duration_cast<WorkerClock>(
+      std::chrono::abs(Run.OrderedAt - Worker.ClockReceivedAt));
+  const WorkerClock Slack =
+      SinceReport * Settings.ClockSlackPercent / 100 + ClockRounding;
+  return *Reply.Clock < Worker.clockAt(Run.OrderedAt) - Slack;
+}
+
 void Dispatcher::handleStartReply(const StartOrder &Order,
-                                  OrderOutcome Outcome) {
+                                  const OrderReply &Reply) {
+  const OrderOutcome Outcome = Reply.Outcome;
   const auto WorkerIt = Workers.find(Order.Worker.WorkerId);
   if (Table == nullptr || WorkerIt == Workers.end()) {
     return;
@@ -380,12 +397,25 @@
   const bool IsForPresentIncarnation =
       !Worker.HasEnded &&
       Run->WorkerIncarnation == Worker.Record.Instance.Incarnation;
+  const bool IsByLater = isAnsweredByLater(Worker, *Run, Reply);
+  if (IsByLater) {
+    Worker.NextRenewalAt = std::min(Worker.NextRenewalAt, Now);
+    Log.write(LogLevel::Info, "start-answered-by-later",
+              {{"job", Order.Task.Job.Text},
+               {"task", taskPath(Order.Task)},
+               {"run", Order.Run},
+               {"worker", Order.Worker.WorkerId},
+               {"born", Worker.Record.Instance.Incarnation},
+               {"clock_ms", Reply.Clock->count()},
+               {"outcome", static_cast<int>(Outcome)}});
+  }
   PlanNeeded = true;
   switch (Outcome) {
   case OrderOutcome::Done:
     Run->Phase = RunPhase::Running;
     Run->StartedAt = Now;
     Run->PercentChangedAt = Now;
+    Run->IsOnUnknownIncarnation = IsByLater;
     settleRuns(Worker);
     Worker.NextRenewalAt =
         std::min(Worker.NextRenewalAt, Now + Settings.RenewalPeriod);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -103,7 +103,7 @@
   /// Take the outcome of an order, and for a renewal the report of the worker.
   void handleRenewReply(const std::string &WorkerId, Instant SentAt,
                         OrderOutcome Outcome, const RenewReport &Report);
-  void handleStartReply(const StartOrder &Order, OrderOutcome Outcome);
+  void handleStartReply(const StartOrder &Order, const OrderReply &Reply);
   void handleStopReply(const StopOrder &Order, OrderOutcome Outcome);
   void handlePaceReply(const PaceOrder &Order, OrderOutcome Outcome);
 
@@ -305,6 +305,10 @@
   /// Sends a start order, also again if it got no reply. The journal must have
   /// the run as the current one of its task.
   void sendStart(WorkerState &Worker, const TaskRef &Task, RunState &Run);
+  /// Whether the clock in the reply to a start shows that a later incarnation
+  /// of the worker than the known one has answered it.
+  bool isAnsweredByLater(const WorkerState &Worker, const RunState &Run,
+                         const OrderReply &Reply) const;
   /// The worker has refused a start: decides when it gets the next one.
   void handleRefusedStart(WorkerState &Worker, const StartOrder &Order,
                           OrderOutcome Outcome);
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Orders.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Orders.h
@@ -144,6 +144,16 @@
   Unknown,
 };
 
+/// A reply to an order other than a renewal.
+struct OrderReply {
+  OrderOutcome Outcome = OrderOutcome::Unknown;
+  /// The time on the worker's clock; unset if the reply doesn't tell it, as one
+  /// by an entry of an earlier version.
+  std::optional<WorkerClock> Clock;
+
+  auto operator<=>(const OrderReply &) const = default;
+};
+
 } // namespace balsamlatch::dispatch
 
 #endif // BALSAMLATCH_DISPATCH_ORDERS_H
--- a/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/WorkerState.h
@@ -69,6 +69,9 @@
   std::int64_t WorkerIncarnation = 0;
   /// Incarnation of the worker that has reported the run; 0 if none has.
   std::int64_t ReportedBy = 0;
+  /// The start was answered by a later incarnation of the worker than was known
+  /// then. It may have ended with the run since.
+  bool IsOnUnknownIncarnation = false;
   /// Incarnation of the worker on which the run has ended, or that will not
   /// start it any more; 0 for none.
   std::int64_t EndedOn = 0;
--- a/Tests/Control/CarrierSimulation.cpp
+++ b/Tests/Control/CarrierSimulation.cpp
@@ -9,6 +9,7 @@
 
 using namespace std::chrono_literals;
 using dispatch::OrderOutcome;
+using dispatch::OrderReply;
 using dispatch::RenewReport;
 
 namespace {
@@ -24,7 +25,7 @@
 /// Leaders and carriers learn of a closed connection after this time.
 constexpr Duration RefusalDelay = 2ms;
 
-using AnyReply = std::function<void(OrderOutcome, RenewReport)>;
+using AnyReply = std::function<void(OrderReply, RenewReport)>;
 
 } // namespace
 
@@ -38,7 +39,11 @@
 
   void renew(const dispatch::RenewOrder &Order,
              RenewCallback Callback) override {
-    send(Order, Order.Worker.ReplyTimeout + Order.Wait, std::move(Callback));
+    send(Order, Order.Worker.ReplyTimeout + Order.Wait,
+         [Callback = std::move(Callback)](const OrderReply &Reply,
+                                          const RenewReport &Report) {
+           Callback(Reply.Outcome, Report);
+         });
   }
   void start(const dispatch::StartOrder &Order,
              ReplyCallback Callback) override {
@@ -53,9 +58,9 @@
 
 private:
   static AnyReply withoutReport(ReplyCallback Callback) {
-    return [Callback = std::move(Callback)](OrderOutcome Outcome,
+    return [Callback = std::move(Callback)](const OrderReply &Reply,
                                             const RenewReport &) {
-      Callback(Outcome);
+      Callback(Reply);
     };
   }
 
@@ -63,18 +68,18 @@
             AnyReply Callback) {
     auto IsOpen = std::make_shared<bool>(true);
     const AnyReply Finish =
-        [IsOpen, Callback = std::move(Callback)](OrderOutcome Outcome,
+        [IsOpen, Callback = std::move(Callback)](const OrderReply &Reply,
                                                  const RenewReport &Report) {
           if (std::exchange(*IsOpen, false)) {
-            Callback(Outcome, Report);
+            Callback(Reply, Report);
           }
         };
-    const AnyReply Reply = [this, Finish](OrderOutcome Outcome,
+    const AnyReply Reply = [this, Finish](const OrderReply &Received,
                                           const RenewReport &Report) {
       receive(NetworkDelay,
-              [Finish, Outcome, Report] { Finish(Outcome, Report); });
+              [Finish, Received, Report] { Finish(Received, Report); });
     };
-    receive(Timeout, [Finish] { Finish(OrderOutcome::Unknown, {}); });
+    receive(Timeout, [Finish] { Finish({OrderOutcome::Unknown}, {}); });
     Duration Delay = NetworkDelay;
     bool IsCut = false;
     if (EntryIndex) {
@@ -393,7 +398,7 @@
   if (const auto *Start = std::get_if<dispatch::StartOrder>(&Order);
       Start != nullptr && Term != LastTerm) {
     // Its lease has run out.
-    Of.JobDispatcher->handleStartReply(*Start, OrderOutcome::Unhealthy);
+    Of.JobDispatcher->handleStartReply(*Start, {OrderOutcome::Unhealthy});
     return;
   }
   if (const auto *Renew = std::get_if<dispatch::RenewOrder>(&Order)) {
@@ -405,21 +410,22 @@
       }
     });
   } else if (const auto *Start = std::get_if<dispatch::StartOrder>(&Order)) {
-    Of.Pool->start(*Start, [this, Term, Start = *Start](OrderOutcome Outcome) {
-      if (Leader *To = findLeader(Term)) {
-        To->JobDispatcher->handleStartReply(Start, Outcome);
-      }
-    });
+    Of.Pool->start(*Start,
+                   [this, Term, Start = *Start](const OrderReply &Reply) {
+                     if (Leader *To = findLeader(Term)) {
+                       To->JobDispatcher->handleStartReply(Start, Reply);
+                     }
+                   });
   } else if (const auto *Stop = std::get_if<dispatch::StopOrder>(&Order)) {
-    Of.Pool->stop(*Stop, [this, Term, Stop = *Stop](OrderOutcome Outcome) {
+    Of.Pool->stop(*Stop, [this, Term, Stop = *Stop](const OrderReply &Reply) {
       if (Leader *To = findLeader(Term)) {
-        To->JobDispatcher->handleStopReply(Stop, Outcome);
+        To->JobDispatcher->handleStopReply(Stop, Reply.Outcome);
       }
     });
   } else if (const auto *Pace = std::get_if<dispatch::PaceOrder>(&Order)) {
-    Of.Pool->pace(*Pace, [this, Term, Pace = *Pace](OrderOutcome Outcome) {
+    Of.Pool->pace(*Pace, [this, Term, Pace = *Pace](const OrderReply &Reply) {
       if (Leader *To = findLeader(Term)) {
-        To->JobDispatcher->handlePaceReply(Pace, Outcome);
+        To->JobDispatcher->handlePaceReply(Pace, Reply.Outcome);
       }
     });
   }
@@ -484,7 +490,7 @@
     return;
   }
   if (LosesReply && LosesReply()) {
-    Reply = [](OrderOutcome, const RenewReport &) {};
+    Reply = [](const OrderReply &, const RenewReport &) {};
   }
   if (OrderDelay) {
     Delay += OrderDelay();
@@ -509,7 +515,7 @@
     return;
   }
   if (Worker.Record.Address.Port != dispatch::workerOf(Order).Port) {
-    Reply(OrderOutcome::WrongWorker, {});
+    Reply({OrderOutcome::WrongWorker}, {});
     return;
   }
   if (const auto *Renew = std::get_if<dispatch::RenewOrder>(&Order)) {
@@ -523,15 +529,18 @@
       });
       return;
     }
-    Reply(Outcome, Report);
+    Reply({Outcome}, Report);
   } else if (const auto *Start = std::get_if<dispatch::StartOrder>(&Order)) {
     const bool IsLongRunning =
         Specs.at(Start->Task.Job).Steps[Start->Task.Step].LongRunning;
-    Reply(Worker.start(*Start, IsLongRunning, Time.now(), Observed), {});
+    Reply({Worker.start(*Start, IsLongRunning, Time.now(), Observed),
+           Worker.clock(Time.now())},
+          {});
   } else if (const auto *Stop = std::get_if<dispatch::StopOrder>(&Order)) {
-    Reply(Worker.stop(*Stop, Time.now(), Observed), {});
+    Reply({Worker.stop(*Stop, Time.now(), Observed), Worker.clock(Time.now())},
+          {});
   } else {
-    Reply(Worker.pace(std::get<dispatch::PaceOrder>(Order)), {});
+    Reply({Worker.pace(std::get<dispatch::PaceOrder>(Order))}, {});
   }
 }
 
--- a/Tests/Control/CarrierSimulation.h
+++ b/Tests/Control/CarrierSimulation.h
@@ -145,11 +145,11 @@
   /// Delivers an order to its worker, from an entry or from the leader.
   void callWorker(
       const dispatch::WorkerOrder &Order, Duration Delay, bool IsCut,
-      std::function<void(dispatch::OrderOutcome, dispatch::RenewReport)> Reply);
+      std::function<void(dispatch::OrderReply, dispatch::RenewReport)> Reply);
   /// \p ConnectedTo is the incarnation that the call has reached, if any.
   void deliver(const dispatch::WorkerOrder &Order, Instant WaitsUntil,
                std::optional<std::int64_t> ConnectedTo,
-               const std::function<void(dispatch::OrderOutcome,
+               const std::function<void(dispatch::OrderReply,
                                         dispatch::RenewReport)> &Reply);
   FakeWorker &workerFor(const dispatch::WorkerOrder &Order);
 
--- a/Tests/Control/CarrierTest.cpp
+++ b/Tests/Control/CarrierTest.cpp
@@ -14,6 +14,7 @@
 using namespace balsamlatch::control::test;
 using namespace std::chrono_literals;
 using dispatch::OrderOutcome;
+using dispatch::OrderReply;
 using dispatch::RenewReport;
 
 namespace {
@@ -96,8 +97,9 @@
   }
 
   void start(const std::string &WorkerId) {
-    Pool.start(startOrder(WorkerId),
-               [this](OrderOutcome Outcome) { Outcomes.push_back(Outcome); });
+    Pool.start(startOrder(WorkerId), [this](const OrderReply &Reply) {
+      Outcomes.push_back(Reply.Outcome);
+    });
   }
 
   /// Sends the orders that wait and returns the call.
@@ -259,13 +261,44 @@
                            Instant(9s),
                            true,
                            {{1, OrderOutcome::Done, Report},
-                            {2, OrderOutcome::StaleRun, std::nullopt}}};
+                            {2, OrderOutcome::StaleRun, std::nullopt},
+                            {3, OrderOutcome::Done, std::nullopt, 7ms}}};
   const auto DecodedReplies = decodeReplyBatch(encodeReplyBatch(Replies));
   BOOST_REQUIRE(DecodedReplies.ok());
   BOOST_TEST((*DecodedReplies == Replies));
 }
 
 // A malformed message must not end the process.
+// Entries of two versions work side by side: an earlier one tells no clocks,
+// and reads the items up to the replies of a later one.
+BOOST_AUTO_TEST_CASE(ClocksAreUnknownInRepliesOfAnEarlierVersion) {
+  const auto Earlier = decodeReplyBatch("[0,5,9,false,[[3,0]]]");
+  BOOST_REQUIRE(Earlier.ok());
+  BOOST_TEST(!Earlier->Replies.front().Clock.has_value());
+  const std::string Later = encodeReplyBatch(
+      PoolFixture::reply({{3, OrderOutcome::Done, std::nullopt, 7ms}}));
+  BOOST_TEST(Later.find("[[3,0]]") != std::string::npos);
+}
+
+// The worker's clock was dropped on its way to the leader.
+BOOST_FIXTURE_TEST_CASE(TheClockOfAReplyReachesTheLeader, PoolFixture) {
+  std::optional<dispatch::WorkerClock> Clock;
+  Pool.start(startOrder("w"),
+             [&Clock](const OrderReply &Reply) { Clock = Reply.Clock; });
+  Pool.handleReplies(takeCall().Number,
+                     reply({{1, OrderOutcome::Done, std::nullopt, 7ms}}));
+  BOOST_TEST((Clock == 7ms));
+}
+
+BOOST_FIXTURE_TEST_CASE(TheClockOfAReplyIsCarried, CarrierFixture) {
+  accept(batch(3, Instant(8s)));
+  Workers.Replies[0]({OrderOutcome::Done, 7ms});
+  Time.advance(20ms);
+  Carrier.respondIfDue();
+  BOOST_REQUIRE(Responses.size() == 1);
+  BOOST_TEST((Responses.front().Replies.front().Clock == 7ms));
+}
+
 BOOST_AUTO_TEST_CASE(MalformedBatchesAreRejected) {
   for (const char *Text :
        {"", "{", "[]", "[1,2]", "[1,2,3]", "[1,2,[3]]", "[1,2,[[]]]",
@@ -276,7 +309,9 @@
   }
   for (const char *Text :
        {"", "[9,1,1,false,[]]", "[0,1,1,0,[]]", "[0,1,1,false,[[1]]]",
-        "[0,1,1,false,[[1,99]]]", "[0,1,1,false,[[1,0,[1,1,false,[],[[]]]]]]",
+        "[0,1,1,false,[[1,99]]]", "[0,1,1,false,[[1,0]],[[2,7]]]",
+        "[0,1,1,false,[[1,0]],[[1]]]",
+        "[0,1,1,false,[[1,0,[1,1,false,[],[[]]]]]]",
         R"([0,1,1,false,[[1,0,[1,1,false,[],[["j",0,0,0,1,1,99,""]]]]]])"}) {
     BOOST_TEST(!decodeReplyBatch(Text).ok(), Text);
   }
@@ -291,7 +326,7 @@
   Pool.begin(dispatch::FencingToken(3));
   Pool.setWorkerCount(50);
   BOOST_TEST(Pool.takeCalls().empty());
-  Pool.start(startOrder("w"), [](OrderOutcome) {});
+  Pool.start(startOrder("w"), [](const OrderReply &) {});
   BOOST_TEST(Direct.Orders.size() == 1);
 }
 
@@ -372,7 +407,7 @@
   start("w");
   BOOST_TEST(Direct.Orders.size() == 1);
   // The worker can't be reached from here either.
-  Direct.Replies.front()(OrderOutcome::Unknown);
+  Direct.Replies.front()({OrderOutcome::Unknown});
   start("w");
   BOOST_TEST(Direct.Orders.size() == 1);
 }
@@ -471,8 +506,8 @@
   Batch.Orders.push_back({2, startOrder("w2"), Instant(8s)});
   accept(Batch);
   BOOST_TEST((Carrier.respondAt() == Time.now() + MaxReplyHold));
-  Workers.Replies[0](OrderOutcome::Done);
-  Workers.Replies[1](OrderOutcome::Done);
+  Workers.Replies[0]({OrderOutcome::Done});
+  Workers.Replies[1]({OrderOutcome::Done});
   BOOST_TEST(Responses.empty());
   Time.advance(10ms);
   Carrier.respondIfDue();
@@ -488,7 +523,7 @@
 BOOST_FIXTURE_TEST_CASE(RepliesForAnEarlierTermAreDropped, CarrierFixture) {
   accept(batch(3, Instant(8s)));
   accept(batch(4, Instant(8s)));
-  Workers.Replies[0](OrderOutcome::Done);
+  Workers.Replies[0]({OrderOutcome::Done});
   Time.advance(1s);
   Carrier.respondIfDue();
   BOOST_REQUIRE(Responses.size() == 2);
--- a/Tests/Control/ControlTest.cpp
+++ b/Tests/Control/ControlTest.cpp
@@ -657,7 +657,7 @@
     BOOST_REQUIRE(runUntil([&] { return OpenWorkers.Starts.size() == 1; }));
     Store.IsUnavailable = IsLeaseLost;
     runFor(1200ms);
-    OpenWorkers.Starts.front()(dispatch::OrderOutcome::Unknown);
+    OpenWorkers.Starts.front()({dispatch::OrderOutcome::Unknown});
     runFor(100ms);
     BOOST_TEST(OpenWorkers.Starts.size() == (IsLeaseLost ? 1U : 2U));
     Store.IsUnavailable = false;
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -931,10 +931,8 @@
 }
 
 // The same, where it crashed before it had reported: the reply to the start
-// was taken for one of the former incarnation. Disabled: KNOWN-RED.txt lists
-// it.
-BOOST_AUTO_TEST_CASE(ACrashOfTheIncarnationThatAnsweredTheStartIsInDoubt,
-                     *boost::unit_test::disabled()) {
+// was taken for one of the former incarnation.
+BOOST_AUTO_TEST_CASE(ACrashOfTheIncarnationThatAnsweredTheStartIsInDoubt) {
   RestartSimulation Sim(2);
   Sim.startOnRestartedWorker("a", simpleJob(1));
   Sim.run(10ms);
@@ -944,3 +942,42 @@
   const TaskRef Task{jobs::JobId("a"), 0, 0, 0};
   BOOST_TEST(Sim.job("a").find(Task)->CrashScore == 0U);
 }
+
+// The same, where not even the next report came from the incarnation that had
+// answered.
+BOOST_AUTO_TEST_CASE(ACrashBeforeTheAnsweringIncarnationReportsIsInDoubt) {
+  RestartSimulation Sim(2);
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.restartAll();
+  Sim.run(50ms);
+  const TaskRef Task{jobs::JobId("a"), 0, 0, 0};
+  BOOST_TEST(Sim.job("a").find(Task)->Run > 0U);
+  BOOST_TEST(Sim.job("a").find(Task)->CrashScore == 0U);
+}
+
+// The leader had the runs of a restarted worker wrong until the next renewal.
+BOOST_AUTO_TEST_CASE(AnAnswerByALaterIncarnationIsFollowedByARenewal) {
+  RestartSimulation Sim(2);
+  Sim.Log.KeptReason = "start-answered-by-later";
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  Sim.run(5ms);
+  BOOST_TEST(Sim.Log.Kept.size() == 1);
+  const WorkerInstance &Instance = Sim.workerOfRun().Record.Instance;
+  BOOST_TEST(Sim.JobDispatcher->workers().at(Instance.Id).HasRestarted);
+}
+
+// A worker whose clock is slow was taken for one that had started again.
+BOOST_AUTO_TEST_CASE(ASlowClockIsNoSignOfARestart) {
+  Simulation Sim(1);
+  FakeWorker &Worker = Sim.Workers.front();
+  Worker.ClockLagPercent = 2;
+  Worker.RunDuration = 100ms;
+  Sim.Log.KeptReason = "start-answered-by-later";
+  Sim.run(100s);
+  for (unsigned Number = 0; Number < 40; ++Number) {
+    Sim.submit("j" + std::to_string(Number), simpleJob(1));
+    Sim.run(1s + std::chrono::milliseconds(Number * 50));
+  }
+  BOOST_TEST(Sim.Observed.CompletedAt.size() == 40U);
+  BOOST_TEST(Sim.Log.Kept.empty());
+}
--- a/Tests/Dispatch/Simulation.cpp
+++ b/Tests/Dispatch/Simulation.cpp
@@ -474,7 +474,7 @@
                                       Time.now() - ReplyTimeout,
                                       OrderOutcome::Unknown, {});
     } else if (const auto *Start = std::get_if<StartOrder>(&Order)) {
-      JobDispatcher->handleStartReply(*Start, OrderOutcome::Unknown);
+      JobDispatcher->handleStartReply(*Start, {OrderOutcome::Unknown});
     } else if (const auto *Stop = std::get_if<StopOrder>(&Order)) {
       JobDispatcher->handleStopReply(*Stop, OrderOutcome::Unknown);
     } else {
@@ -537,15 +537,16 @@
     deliverRenewal(*Renew, SenderTerm, ReplyArrives);
   } else if (const auto *Start = std::get_if<StartOrder>(&Order)) {
     FakeWorker &Worker = *find(Start->Worker.WorkerId);
-    OrderOutcome Outcome = OrderOutcome::Unknown;
+    OrderReply Reply;
     if (Worker.isReachable()) {
       const std::size_t RunCount = Observed.Runs.size();
-      Outcome = Worker.start(*Start, isLongRunning(Start->Task), Time.now(),
-                             Observed);
+      Reply = {Worker.start(*Start, isLongRunning(Start->Task), Time.now(),
+                            Observed),
+               Worker.clock(Time.now())};
       if (Observed.Runs.size() > RunCount) {
         checkLoad(Worker, SentAt);
       }
-      if (Outcome == OrderOutcome::Done && CrashesWorker &&
+      if (Reply.Outcome == OrderOutcome::Done && CrashesWorker &&
           CrashesWorker(Start->Task)) {
         schedule(CrashDelay(Start->Task), [this, Order = *Start] {
           crashUnderRun(Order.Worker.WorkerId, Order);
@@ -553,8 +554,8 @@
       }
     }
     if (ReplyArrives) {
-      reply([this, Start = *Start, Outcome] {
-        JobDispatcher->handleStartReply(Start, Outcome);
+      reply([this, Start = *Start, Reply] {
+        JobDispatcher->handleStartReply(Start, Reply);
       });
     }
   } else if (const auto *Stop = std::get_if<StopOrder>(&Order)) {
--- a/Tests/Dispatch/Simulation.h
+++ b/Tests/Dispatch/Simulation.h
@@ -88,6 +88,8 @@
   std::size_t MaxListedEnds = 500;
   /// Start orders must carry this ticket; empty for none.
   std::string RequiredTicket;
+  /// By how much the worker's clock is slow.
+  unsigned ClockLagPercent = 0;
   /// A longer lease is shortened to this.
   WorkerClock MaxLease = std::chrono::seconds(10);
 
@@ -119,10 +121,12 @@
   /// Loses all runs and state, and starts a new incarnation of the worker.
   void crash(Instant Now, History &Observed);
 
-private:
   WorkerClock clock(Instant Now) const {
-    return std::chrono::duration_cast<WorkerClock>(Now - BootedAt);
+    return std::chrono::duration_cast<WorkerClock>(
+        (Now - BootedAt) * (100 - ClockLagPercent) / 100);
   }
+
+private:
   void end(const TaskRef &Task, const ActiveRun &Run, jobs::RunOutcome End,
            Instant Now, History &Observed);
   void extendLease(WorkerClock Until, Instant Now);
--- a/Tests/PlatformAdapter/AdapterTest.cpp
+++ b/Tests/PlatformAdapter/AdapterTest.cpp
@@ -287,6 +287,17 @@
   BOOST_TEST(!decodeRenewReport("{\"running_tasks\":[[1]]}").ok());
 }
 
+// A response without a usable clock must not look like one of a new process.
+BOOST_AUTO_TEST_CASE(WorkerClockIsDecoded) {
+  BOOST_TEST((decodeWorkerClock(R"({"clock_ms":482113,"reason":"old"})") ==
+              dispatch::WorkerClock(482113)));
+  for (const char *Body :
+       {"", "{", "[]", "{}", R"({"clock_ms":null})", R"({"clock_ms":"9"})",
+        R"({"clock_ms":1.5})", R"({"clock_ms":18446744073709551615})"}) {
+    BOOST_TEST(!decodeWorkerClock(Body).has_value(), Body);
+  }
+}
+
 // Runs whose ends a worker didn't list yet were taken for lost.
 BOOST_AUTO_TEST_CASE(AFullListOfEndsMayNotBeComplete) {
   const auto ReportWithEnds = [](unsigned Count) {
