control: Jobs whose only start may still come count as waiting

Cause: the count of waiting jobs takes a job for begun once a placement is recorded. The leader adds the jobs of which it knows no run that has started. Evidence: ATaskOfAWorkerThatIsNotListedWaitsForItsLastStartOnly asks for it.

--- a/Source/Control/JobControllerRequests.cpp
+++ b/Source/Control/JobControllerRequests.cpp
@@ -170,7 +170,8 @@
     return;
   }
   JobReply Reply{JobReply::Done};
-  Reply.Pending = Table->pendingCount(Request.Queue);
+  Reply.Pending = Table->pendingCount(Request.Queue) +
+                  JobDispatcher.countUnstartedJobs(Request.Queue);
   Callback(Reply);
 }
 
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -156,6 +156,11 @@
   /// its ID, and runs that its next incarnation may have are kept.
   void handleHostGone(const std::string &WorkerId, bool MayHaveCrashed = false);
 
+  /// Jobs of the queue, without those that repeat, that the journal has as
+  /// begun although no run of them is known to have started; 0 outside of
+  /// a term.
+  unsigned countUnstartedJobs(const QueueName &Queue) const;
+
 private:
   void registerWorker(const std::string &Id, const WorkerRecord &Record);
   /// Null if the worker is unknown or in another incarnation.
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -463,10 +463,13 @@
     Sim.run(5ms);
   }
   const std::string Target = Sim.find("w0")->isReachable() ? "w1" : "w0";
+  const QueueName &Queue = Sim.Config->Queues.front().Name;
   Sim.listHosts({Target}, 12s);
   BOOST_TEST(Sim.countStarts("a") == 0);
+  BOOST_TEST(Sim.JobDispatcher->countUnstartedJobs(Queue) == 1U);
   Sim.listHosts({Target}, 6s);
   BOOST_TEST(Sim.countStarts("a") == 1);
+  BOOST_TEST(Sim.JobDispatcher->countUnstartedJobs(Queue) == 0U);
 }
 
 // A host order that ended the worker ended its runs, also one whose start was
