--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -981,3 +981,37 @@
   BOOST_TEST(Sim.Observed.CompletedAt.size() == 40U);
   BOOST_TEST(Sim.Log.Kept.empty());
 }
+
+// A start got no reply and was repeated, though its run had ended by then. The
+// repeat was held, and a worker that had just started again carried it out.
+// Disabled: KNOWN-RED.txt lists it.
+BOOST_AUTO_TEST_CASE(ARepeatedStartDoesNotRunACompletedTaskAgain,
+                     *boost::unit_test::disabled()) {
+  constexpr Duration HeldFor = 2s;
+  RestartSimulation Sim(1);
+  Sim.Workers.front().RunDuration = 50ms;
+  Sim.HeldOrdersOutliveWorkers = true;
+  std::optional<Instant> RepeatedAt;
+  unsigned Starts = 0;
+  Sim.LosesAnswer = [&Starts](const WorkerOrder &Order) {
+    return std::holds_alternative<StartOrder>(Order) && Starts == 0;
+  };
+  Sim.OrderDelay = [&](const WorkerOrder &Order) -> std::optional<Duration> {
+    if (!std::holds_alternative<StartOrder>(Order) || ++Starts == 1) {
+      return std::nullopt;
+    }
+    RepeatedAt = RepeatedAt.value_or(Sim.Time.now());
+    return HeldFor;
+  };
+  Sim.run(500ms); // between two renewals
+  Sim.submit("a", simpleJob(1));
+  Sim.run(1s);
+  BOOST_REQUIRE(Sim.Observed.CompletedAt.size() == 1U);
+  while (RepeatedAt && Sim.Time.now() < *RepeatedAt + HeldFor - 5ms) {
+    Sim.run(5ms);
+  }
+  BOOST_REQUIRE(Sim.Observed.Runs.front().EndAcknowledged);
+  Sim.restartAll();
+  Sim.run(4s);
+  BOOST_TEST(Sim.countStarts("a") == 1U);
+}
