dispatch: The age of a host list counts from when it was asked for

Cause: a list may be 2 s old when the platform makes it; it was taken for no older when it arrived. A platform that is slow to answer makes it older, and it ended a run that had started meanwhile. The list's call tells when it was asked for, and its age counts from then. Evidence: AHostListThatTookLongDoesNotEndAYoungRun failed with the age counted from the arrival (two starts, overlapping) and passes.

--- a/Source/Control/HostController.cpp
+++ b/Source/Control/HostController.cpp
@@ -236,7 +236,8 @@
                 {{"why", std::string(Reply.status().message())}});
       return;
     }
-    Scheduler.setHosts(*std::move(Reply), LocalController.dispatcher());
+    Scheduler.setHosts(*std::move(Reply), LastListAt,
+                       LocalController.dispatcher());
     for (const auto &[Order, IsAccepted] :
          std::exchange(RepliesDuringList, {})) {
       Scheduler.handleReply(Order, IsAccepted);
--- a/Source/Dispatch/DispatcherWorkers.cpp
+++ b/Source/Dispatch/DispatcherWorkers.cpp
@@ -18,16 +18,18 @@
 /// Consecutive host lists without a worker after which the worker counts as
 /// ended. A single list may have been taken before the worker started.
 constexpr unsigned MinListsWithoutHost = 2;
-/// A host list shows the workers as they were this long ago at the earliest.
+/// A host list shows the workers as they were this long before it was asked
+/// for, or later.
 constexpr Duration MaxHostListLag = std::chrono::seconds(2);
 /// The incarnation of a worker that isn't up; later than all others.
 constexpr std::int64_t NoIncarnation = std::numeric_limits<std::int64_t>::max();
 /// A worker that so many host lists still show is out of reach, but not gone.
 constexpr unsigned MaxListsWhileUnresponsive = 4;
 
-/// Whether a host list that is received now was taken after \p Then.
-bool showsTimeAfter(Instant Then, Instant Now) {
-  return Now - Then > MaxHostListLag;
+/// Whether a host list that was asked for at \p AskedAt was taken after
+/// \p Then.
+bool showsTimeAfter(Instant Then, Instant AskedAt) {
+  return AskedAt - Then > MaxHostListLag;
 }
 
 } // namespace
@@ -295,8 +297,8 @@
        {"why", Reason}});
 }
 
-void Dispatcher::setHostedWorkers(const std::set<std::string> &Ids) {
-  const Instant Now = Time.now();
+void Dispatcher::setHostedWorkers(const std::set<std::string> &Ids,
+                                  Instant AskedAt) {
   for (auto &[Id, Worker] : Workers) {
     Worker.ListsWhileUnresponsive += Worker.IsUnresponsive ? 1 : 0;
     if (Ids.contains(Id)) {
@@ -310,12 +312,12 @@
     }
     // An older list says nothing of this incarnation, whose ID is that of the
     // former one.
-    if (!showsTimeAfter(Worker.IncarnationLearntAt, Now) ||
+    if (!showsTimeAfter(Worker.IncarnationLearntAt, AskedAt) ||
         (Worker.HasReported && !Worker.IsUnresponsive)) {
       continue;
     }
     for (auto &[Task, Run] : Worker.Runs) {
-      Run.ListsWithoutHost += showsTimeAfter(Run.keptUntil(), Now) ? 1 : 0;
+      Run.ListsWithoutHost += showsTimeAfter(Run.keptUntil(), AskedAt) ? 1 : 0;
     }
     if (++Worker.ListsWithoutHost >= MinListsWithoutHost) {
       handleWorkerGone(Worker, NoIncarnation,
--- a/Source/Dispatch/HostScheduler.cpp
+++ b/Source/Dispatch/HostScheduler.cpp
@@ -250,7 +250,7 @@
 }
 
 void HostScheduler::setHosts(std::vector<HostRecord> ListedHosts,
-                             Dispatcher &JobDispatcher) {
+                             Instant AskedAt, Dispatcher &JobDispatcher) {
   Hosts.clear();
   std::set<std::string> WorkerIds;
   for (HostRecord &Host : ListedHosts) {
@@ -262,7 +262,7 @@
   }
   settleOrders(JobDispatcher);
   JobDispatcher.setCordons(cordons());
-  JobDispatcher.setHostedWorkers(WorkerIds);
+  JobDispatcher.setHostedWorkers(WorkerIds, AskedAt);
 }
 
 void HostScheduler::addWave(const WaveRequest &Request, Duration ElapsedTime) {
--- a/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/Dispatcher.h
@@ -145,9 +145,10 @@
   /// \p Reason is logged.
   void moveRun(const std::string &WorkerId, const TaskRef &Task,
                std::string_view Reason);
-  /// Takes the workers on any host by the latest host list. A worker that can't
-  /// be reached and is missing from two lists in a row counts as ended.
-  void setHostedWorkers(const std::set<std::string> &Ids);
+  /// Takes the workers on any host by the latest host list, which was asked for
+  /// at \p AskedAt. A worker that can't be reached and is missing from two
+  /// lists in a row counts as ended.
+  void setHostedWorkers(const std::set<std::string> &Ids, Instant AskedAt);
   /// Whether a worker with runs has become unresponsive, so that the next host
   /// lists show whether its runs are lost.
   bool needsHostList() const;
--- a/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
+++ b/Source/Dispatch/include/balsamlatch/Dispatch/HostScheduler.h
@@ -66,8 +66,10 @@
   void setRecentOrders(std::set<HostName> Hosts);
   /// Hosts that were ordered in the last HandoverDelay.
   std::set<HostName> recentOrders() const;
-  /// Takes a host list that was made after all replies so far.
-  void setHosts(std::vector<HostRecord> Hosts, Dispatcher &JobDispatcher);
+  /// Takes a host list that was asked for at \p AskedAt, and made after all
+  /// replies so far.
+  void setHosts(std::vector<HostRecord> Hosts, Instant AskedAt,
+                Dispatcher &JobDispatcher);
   /// Adds a wave; the caller must not add a completed one again. \p ElapsedTime
   /// is the time for which earlier lease holders have already worked on it.
   void addWave(const WaveRequest &Wave, Duration ElapsedTime = {});
--- a/Tests/Control/CarrierSimulation.cpp
+++ b/Tests/Control/CarrierSimulation.cpp
@@ -368,10 +368,11 @@
           Hosted.insert(Worker.Record.Instance.Id);
         }
       }
-      scheduleForLeader(HostListDelay(), LastTerm,
-                        [Hosted = std::move(Hosted)](Leader &Of) {
-                          Of.JobDispatcher->setHostedWorkers(Hosted);
-                        });
+      scheduleForLeader(
+          HostListDelay(), LastTerm,
+          [Hosted = std::move(Hosted), AskedAt = Time.now()](Leader &Of) {
+            Of.JobDispatcher->setHostedWorkers(Hosted, AskedAt);
+          });
     }
     sendHostLists();
   });
--- a/Tests/Dispatch/CapacityTest.cpp
+++ b/Tests/Dispatch/CapacityTest.cpp
@@ -58,8 +58,8 @@
   Worker.IsDown = true;
   Sim.submit("next", simpleJob(4));
   Sim.run(1s);
-  Sim.JobDispatcher->setHostedWorkers({});
-  Sim.JobDispatcher->setHostedWorkers({});
+  Sim.JobDispatcher->setHostedWorkers({}, Sim.Time.now());
+  Sim.JobDispatcher->setHostedWorkers({}, Sim.Time.now());
   Sim.run(200ms);
   Worker.IsDown = false;
   Sim.run(30s);
--- a/Tests/Dispatch/CrashingTaskTest.cpp
+++ b/Tests/Dispatch/CrashingTaskTest.cpp
@@ -166,7 +166,7 @@
   addDeadlyJob(Sim, simpleJob(1));
   for (int Round = 0; Round < 120; ++Round) {
     Sim.run(250ms);
-    Sim.JobDispatcher->setHostedWorkers({});
+    Sim.JobDispatcher->setHostedWorkers({}, Sim.Time.now());
   }
   BOOST_TEST((Sim.job("deadly").Record.State == jobs::JobState::Failed));
   BOOST_TEST(countCrashes(Sim) <= 3);
--- a/Tests/Dispatch/DispatcherTest.cpp
+++ b/Tests/Dispatch/DispatcherTest.cpp
@@ -310,14 +310,14 @@
   const std::set<std::string> HostedWorkers = {
       EndedWorker.Record.Instance.Id == "w0" ? "w1" : "w0"};
   // Lists that may be older than the last start of the earlier leader.
-  Sim.JobDispatcher->setHostedWorkers(HostedWorkers);
-  Sim.JobDispatcher->setHostedWorkers(HostedWorkers);
+  Sim.JobDispatcher->setHostedWorkers(HostedWorkers, Sim.Time.now());
+  Sim.JobDispatcher->setHostedWorkers(HostedWorkers, Sim.Time.now());
   Sim.run(1100ms);
   BOOST_TEST(Sim.countStarts("a") == 1);
-  Sim.JobDispatcher->setHostedWorkers(HostedWorkers);
+  Sim.JobDispatcher->setHostedWorkers(HostedWorkers, Sim.Time.now());
   Sim.run(100ms);
   BOOST_TEST(Sim.countStarts("a") == 1);
-  Sim.JobDispatcher->setHostedWorkers(HostedWorkers);
+  Sim.JobDispatcher->setHostedWorkers(HostedWorkers, Sim.Time.now());
   Sim.run(100ms);
   BOOST_TEST(Sim.countStarts("a") == 2);
 }
@@ -361,7 +361,7 @@
 BOOST_AUTO_TEST_CASE(ARestartedWorkerIsNotGoneBeforeAHostListHasShownIt) {
   Simulation Sim(2);
   Sim.run(100ms);
-  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"});
+  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"}, Sim.Time.now());
   Sim.Workers[0].crash(Sim.Time.now(), Sim.Observed);
   Sim.run(500ms);
   jobs::JobSpec Spec = simpleJob(1);
@@ -371,8 +371,8 @@
   BOOST_REQUIRE(!Sim.Workers[0].runs().empty());
   Sim.Workers[0].IsDown = true;
   Sim.run(600ms);
-  Sim.JobDispatcher->setHostedWorkers({"w1"});
-  Sim.JobDispatcher->setHostedWorkers({"w1"});
+  Sim.JobDispatcher->setHostedWorkers({"w1"}, Sim.Time.now());
+  Sim.JobDispatcher->setHostedWorkers({"w1"}, Sim.Time.now());
   Sim.run(20s);
   BOOST_TEST(Sim.countStarts("j") == 2);
   BOOST_TEST(Sim.violations().empty());
@@ -606,14 +606,14 @@
   Sim.submit("a", longRunningJob(1));
   Sim.run(500ms);
   const std::set<std::string> AllWorkers = {"w0", "w1"};
-  Sim.JobDispatcher->setHostedWorkers(AllWorkers);
+  Sim.JobDispatcher->setHostedWorkers(AllWorkers, Sim.Time.now());
   BOOST_TEST(!Sim.JobDispatcher->needsHostList());
   workerOfFirstRun(Sim).IsDown = true;
   Sim.run(1200ms);
   BOOST_TEST(Sim.JobDispatcher->needsHostList());
   // The host is up, so the worker is only out of reach.
   for (unsigned List = 0; List < 4; ++List) {
-    Sim.JobDispatcher->setHostedWorkers(AllWorkers);
+    Sim.JobDispatcher->setHostedWorkers(AllWorkers, Sim.Time.now());
   }
   BOOST_TEST(!Sim.JobDispatcher->needsHostList());
   BOOST_TEST(Sim.countStarts("a") == 1);
--- a/Tests/Dispatch/FleetHosts.cpp
+++ b/Tests/Dispatch/FleetHosts.cpp
@@ -101,7 +101,7 @@
   ListInFlight = false;
   NextListAt = Sim.Time.now() +
                (Scheduler->hasOpenWork() ? BusyListPeriod : IdleListPeriod);
-  Scheduler->setHosts(std::move(List), *Sim.JobDispatcher);
+  Scheduler->setHosts(std::move(List), LastListAt, *Sim.JobDispatcher);
   for (const auto &[Order, IsAccepted] : std::exchange(RepliesDuringList, {})) {
     Scheduler->handleReply(Order, IsAccepted);
     scheduleList();
--- a/Tests/Dispatch/HostSchedulerTest.cpp
+++ b/Tests/Dispatch/HostSchedulerTest.cpp
@@ -39,7 +39,9 @@
     }
   }
 
-  void publishHosts() { Scheduler.setHosts(Hosts, *Sim.JobDispatcher); }
+  void publishHosts() {
+    Scheduler.setHosts(Hosts, Sim.Time.now(), *Sim.JobDispatcher);
+  }
 
   /// Moves all hosts but the first \p Kept to the standby pool and publishes
   /// the host list.
--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -52,7 +52,7 @@
       }
     }
     for (const Instant Until = Time.now() + For; Time.now() < Until;) {
-      JobDispatcher->setHostedWorkers(Ids);
+      JobDispatcher->setHostedWorkers(Ids, Time.now());
       run(std::min<Duration>(250ms, Until - Time.now()));
     }
   }
@@ -395,7 +395,7 @@
 BOOST_AUTO_TEST_CASE(AStartOnItsWayOutlivesAWorkerThatIsNotListed) {
   RestartSimulation Sim(2);
   Sim.run(100ms);
-  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"});
+  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"}, Sim.Time.now());
   Sim.ReplyDelay = 150ms;
   Sim.run(3s); // replies may take longer from now on
   Sim.HeldOrdersOutliveWorkers = true;
@@ -417,8 +417,8 @@
   Sim.JobDispatcher->handleRenewReply(Intended, Sim.Time.now(),
                                       OrderOutcome::Unknown, None);
   const std::string Other = Intended == "w0" ? "w1" : "w0";
-  Sim.JobDispatcher->setHostedWorkers({Other});
-  Sim.JobDispatcher->setHostedWorkers({Other});
+  Sim.JobDispatcher->setHostedWorkers({Other}, Sim.Time.now());
+  Sim.JobDispatcher->setHostedWorkers({Other}, Sim.Time.now());
   Sim.run(50ms);
   Worker.crash(Sim.Time.now(), Sim.Observed);
   Sim.run(1s);
@@ -553,6 +553,31 @@
   }
 }
 
+// The age of a host list counted from its arrival, so one that the platform
+// took long to answer ended a run that had started meanwhile.
+BOOST_AUTO_TEST_CASE(AHostListThatTookLongDoesNotEndAYoungRun) {
+  RestartSimulation Sim(2);
+  Sim.LosesAnswer = [&](const WorkerOrder &Order) {
+    return Sim.countStarts("a") > 0 &&
+           workerOf(Order).WorkerId == Sim.Observed.Runs.back().Worker;
+  };
+  Sim.startOnRestartedWorker("a", simpleJob(1));
+  const Instant AskedAt = Sim.Time.now();
+  const std::string Target = Sim.workerOfRun().Record.Instance.Id;
+  const std::string Other = Target == "w0" ? "w1" : "w0";
+  Sim.cutOff(*Sim.find(Target));
+  Sim.run(3s);
+  Sim.JobDispatcher->setHostedWorkers({Other}, AskedAt);
+  Sim.JobDispatcher->setHostedWorkers({Other}, AskedAt);
+  Sim.run(500ms);
+  Sim.LosesAnswer = nullptr;
+  Sim.find(Target)->IsDown = false;
+  Sim.registerAll();
+  Sim.run(70s);
+  BOOST_TEST(holds(Sim));
+  BOOST_TEST(Sim.countStarts("a") == 1);
+}
+
 // A host list that was taken before a restart was counted as one that shows the
 // next incarnation, and those from the time of the restart ended its runs.
 BOOST_AUTO_TEST_CASE(AHostListFromBeforeARestartDoesNotShowTheNextIncarnation) {
@@ -569,7 +594,7 @@
   BOOST_REQUIRE(
       Sim.JobDispatcher->workers().at(Target).Runs.begin()->second.ReportedBy ==
       Worker.Record.Instance.Incarnation);
-  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"});
+  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"}, Sim.Time.now());
   Sim.cutOff(Worker);
   Sim.listHosts({Target}, 1500ms);
   Sim.listHosts({}, 500ms);
@@ -750,13 +775,13 @@
 // Host lists from before the restart ended the runs of the next incarnation.
 BOOST_AUTO_TEST_CASE(HostListsFromBeforeARestartDoNotEndTheNextIncarnation) {
   RestartSimulation Sim(2);
-  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"});
+  Sim.JobDispatcher->setHostedWorkers({"w0", "w1"}, Sim.Time.now());
   Sim.LosesAnswer = [](const WorkerOrder &) { return true; };
   Sim.startOnRestartedWorker("a", simpleJob(1));
   Sim.registerAll();
   for (unsigned Lists = 0; Lists < 4; ++Lists) {
     Sim.run(100ms);
-    Sim.JobDispatcher->setHostedWorkers({});
+    Sim.JobDispatcher->setHostedWorkers({}, Sim.Time.now());
   }
   Sim.LosesAnswer = nullptr;
   Sim.run(70s);
--- a/Tests/PlatformAdapter/FleetSizeTest.cpp
+++ b/Tests/PlatformAdapter/FleetSizeTest.cpp
@@ -112,7 +112,7 @@
     return secondsFor([&] {
       Scheduler.begin();
       Scheduler.setRecentOrders({});
-      Scheduler.setHosts(Hosts, *Sim.JobDispatcher);
+      Scheduler.setHosts(Hosts, Sim.Time.now(), *Sim.JobDispatcher);
       Scheduler.addWave(Wave);
       BOOST_REQUIRE(
           Scheduler.decide(*Sim.JobDispatcher, Sim.Table, *Sim.Config).size() ==
