tests: One set-up for runs that go on behind a cut

HostListsFromBeforeAStartDoNotEndItsRun and AHostListThatTookLongDoesNotEndAYoungRun wrote it out twice. The checks are the same; both still fail if every host list counts.

--- a/Tests/Dispatch/RestartedWorkerTest.cpp
+++ b/Tests/Dispatch/RestartedWorkerTest.cpp
@@ -86,6 +86,23 @@
       run(5ms);
     }
   }
+  /// Starts the job on a restarted worker, of which nothing is heard from then
+  /// on, not even the reply to the start.
+  FakeWorker &startBehindCut(const std::string &Job) {
+    LosesAnswer = [this, Job](const WorkerOrder &Order) {
+      return countStarts(Job) > 0 &&
+             workerOf(Order).WorkerId == Observed.Runs.back().Worker;
+    };
+    startOnRestartedWorker(Job, simpleJob(1));
+    cutOff(workerOfRun());
+    return workerOfRun();
+  }
+  /// Ends the cut. The registrations show the restart.
+  void endCut(FakeWorker &Worker) {
+    LosesAnswer = nullptr;
+    Worker.IsDown = false;
+    registerAll();
+  }
   /// The worker that has the only run.
   FakeWorker &workerOfRun() {
     return *std::find_if(
@@ -528,22 +545,14 @@
   for (const bool LeaderChanges : {false, true}) {
     RestartSimulation Sim(2);
     Sim.listHosts({}, 3s);
-    Sim.LosesAnswer = [&](const WorkerOrder &Order) {
-      return Sim.countStarts("a") > 0 &&
-             workerOf(Order).WorkerId == Sim.Observed.Runs.back().Worker;
-    };
-    Sim.startOnRestartedWorker("a", simpleJob(1));
-    const std::string Target = Sim.workerOfRun().Record.Instance.Id;
-    Sim.cutOff(*Sim.find(Target));
+    FakeWorker &Worker = Sim.startBehindCut("a");
     if (LeaderChanges) {
       Sim.startNewTerm();
     }
     // The lists show the time at which the worker was down.
-    Sim.listHosts({Target}, 1900ms);
+    Sim.listHosts({Worker.Record.Instance.Id}, 1900ms);
     Sim.listHosts({}, 2s);
-    Sim.LosesAnswer = nullptr;
-    Sim.find(Target)->IsDown = false;
-    Sim.registerAll();
+    Sim.endCut(Worker);
     Sim.listHosts({}, 70s);
     BOOST_TEST_CONTEXT("leader changes: " << LeaderChanges) {
       BOOST_TEST(holds(Sim));
@@ -557,22 +566,14 @@
 // took long to answer ended a run that had started meanwhile.
 BOOST_AUTO_TEST_CASE(AHostListThatTookLongDoesNotEndAYoungRun) {
   RestartSimulation Sim(2);
-  Sim.LosesAnswer = [&](const WorkerOrder &Order) {
-    return Sim.countStarts("a") > 0 &&
-           workerOf(Order).WorkerId == Sim.Observed.Runs.back().Worker;
-  };
-  Sim.startOnRestartedWorker("a", simpleJob(1));
+  FakeWorker &Worker = Sim.startBehindCut("a");
   const Instant AskedAt = Sim.Time.now();
-  const std::string Target = Sim.workerOfRun().Record.Instance.Id;
-  const std::string Other = Target == "w0" ? "w1" : "w0";
-  Sim.cutOff(*Sim.find(Target));
+  const std::string Other = Worker.Record.Instance.Id == "w0" ? "w1" : "w0";
   Sim.run(3s);
   Sim.JobDispatcher->setHostedWorkers({Other}, AskedAt);
   Sim.JobDispatcher->setHostedWorkers({Other}, AskedAt);
   Sim.run(500ms);
-  Sim.LosesAnswer = nullptr;
-  Sim.find(Target)->IsDown = false;
-  Sim.registerAll();
+  Sim.endCut(Worker);
   Sim.run(70s);
   BOOST_TEST(holds(Sim));
   BOOST_TEST(Sim.countStarts("a") == 1);
